--- a/src/bambootack/dispatch/retry_budget.cc
+++ b/src/bambootack/dispatch/retry_budget.cc
@@ -3,18 +3,17 @@
 #include <algorithm>
 
 namespace bambootack::dispatch {
-namespace {
-
-/// Most second copies saved up, so that a quiet time does not allow a burst of
-/// retries later.
-constexpr double kMaxTokens = 10.0;
-
-}  // namespace
 
 void RetryBudget::Configure(double share) noexcept { share_ = share; }
 
+void RetryBudget::Configure(double share, double burst) noexcept {
+  share_ = share;
+  burst_ = burst;
+  tokens_ = burst;
+}
+
 void RetryBudget::Count() noexcept {
-  tokens_ = std::min(kMaxTokens, tokens_ + share_);
+  tokens_ = std::min(burst_, tokens_ + share_);
 }
 
 bool RetryBudget::Take() noexcept {
--- a/src/bambootack/dispatch/retry_budget.h
+++ b/src/bambootack/dispatch/retry_budget.h
@@ -18,6 +18,12 @@
   /// @param share Second copies allowed for each first copy.
   void Configure(double share) noexcept;
 
+  /// @brief Changes the share and the most second copies saved up, which are
+  /// available at once.
+  /// @param share Second copies allowed for each first copy.
+  /// @param burst Second copies that may be sent without first copies.
+  void Configure(double share, double burst) noexcept;
+
   /// @brief Counts a first copy.
   void Count() noexcept;
 
@@ -27,6 +33,9 @@
 
  private:
   double share_ = 0.0;
+  /// Most second copies saved up, so that a quiet time does not allow a burst
+  /// of retries later.
+  double burst_ = 10.0;
   double tokens_ = 1.0;
 };
 
--- /dev/null
+++ b/src/bambootack/gateway/dialect.cc
@@ -0,0 +1,111 @@
+#include "bambootack/gateway/dialect.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/algorithm/string/predicate.hpp>
+#include <charconv>
+#include <utility>
+
+namespace bambootack::gateway {
+namespace {
+
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+constexpr int kFirstServerError = 500;
+constexpr int kMisdirected = 421;
+
+/// Callers wait for seconds; a larger value is an error of the caller.
+constexpr std::int64_t kMaxRemainingMs = 3'600'000;
+
+std::optional<std::int64_t> ParseNumber(std::string_view text) {
+  std::int64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(value)
+                                                       : std::nullopt;
+}
+
+void RemoveField(core::Headers& headers, std::string_view name) {
+  std::erase_if(headers, [&](const core::HeaderField& it) {
+    return boost::algorithm::iequals(it.name, name);
+  });
+}
+
+}  // namespace
+
+std::optional<core::Duration> RemainingTime(const Dialect& dialect,
+                                            const core::Headers& headers) {
+  const auto field = core::FindHeader(headers, dialect.remaining_ms);
+  const auto value = field ? ParseNumber(*field) : std::nullopt;
+  if (!value || *value < 0 || *value > kMaxRemainingMs) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(*value);
+}
+
+core::HttpRequest ToServerRequest(const Dialect& dialect,
+                                  const core::HttpRequest& request,
+                                  std::string_view server,
+                                  core::Duration remaining) {
+  core::HttpRequest result;
+  result.method = request.method;
+  result.target = request.target;
+  result.headers = core::EndToEndHeaders(request.headers);
+  RemoveField(result.headers, dialect.remaining_ms);
+  RemoveField(result.headers, dialect.expected_server);
+  if (const auto host = core::FindHeader(request.headers, "Host")) {
+    result.headers.push_back({"Host", std::string(*host)});
+  }
+  const auto left = std::max<std::int64_t>(1, core::ToMilliseconds(remaining));
+  result.headers.push_back({dialect.remaining_ms, std::to_string(left)});
+  result.headers.push_back({dialect.expected_server, std::string(server)});
+  result.body = request.body;
+  return result;
+}
+
+SendEnd Classify(const Dialect& dialect, std::string_view request_id,
+                 const core::HttpAnswer& answer) {
+  const core::Headers& headers = answer.headers;
+  const auto echoed = core::FindHeader(headers, dialect.request_id);
+  if (echoed && *echoed != request_id) {
+    return SendEnd::kInvalid;
+  }
+  if (answer.status == kMisdirected) {
+    return SendEnd::kWrongServer;
+  }
+  if (core::FindHeader(headers, dialect.not_run)) {
+    return SendEnd::kNotRun;
+  }
+  const bool success =
+      answer.status >= kFirstSuccess && answer.status < kFirstRedirect;
+  const bool proven = echoed && core::FindHeader(headers, dialect.signature);
+  if ((success && !proven) || core::FindHeader(headers, "Content-Encoding")) {
+    return SendEnd::kInvalid;
+  }
+  return answer.status >= kFirstServerError || PromisesNotRun(answer.status)
+             ? SendEnd::kServerError
+             : SendEnd::kServed;
+}
+
+std::optional<ServerLoad> ReportedLoad(const Dialect& dialect,
+                                       const core::Headers& headers) {
+  const auto field = core::FindHeader(headers, dialect.load);
+  if (!field) {
+    return std::nullopt;
+  }
+  const std::size_t first = field->find(',');
+  const std::size_t second =
+      first == std::string_view::npos ? first : field->find(',', first + 1);
+  if (second == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto running = ParseNumber(field->substr(0, first));
+  const auto waiting =
+      ParseNumber(field->substr(first + 1, second - first - 1));
+  if (!running || !waiting || *running < 0 || *waiting < 0) {
+    return std::nullopt;
+  }
+  return ServerLoad{static_cast<int>(*running), static_cast<int>(*waiting)};
+}
+
+}  // namespace bambootack::gateway
--- /dev/null
+++ b/src/bambootack/gateway/gateway.cc
@@ -0,0 +1,217 @@
+#include "bambootack/gateway/gateway.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "bambootack/gateway/refusal.h"
+
+namespace bambootack::gateway {
+namespace {
+
+/// Characters of a caller's text that a log line shows.
+constexpr std::size_t kMaxLoggedText = 64;
+
+/// Requests that are left until the last fifth of the target are late anyway.
+std::string_view Shown(std::string_view text) {
+  return text.substr(0, kMaxLoggedText);
+}
+
+}  // namespace
+
+Gateway::Gateway(GatewayOptions options, std::uint64_t seed)
+    : options_(std::move(options)), random_(seed), broker_(options_.vm) {}
+
+void Gateway::Configure(GatewayConfig config, core::Time now) {
+  if (config.version <= routes_->Version()) {
+    return;
+  }
+  Log(log::EventId::kConfigurationInForce,
+      fmt::format("version={} before={} routes={}", config.version,
+                  routes_->Version(), config.routes.size()));
+  routes_ = std::make_shared<const RouteTable>(std::move(config));
+  pool_.Follow(registry_, now);
+}
+
+std::optional<core::ErrorKind> Gateway::Route(Request& request) const {
+  if (routes_->Version() == 0) {
+    return core::ErrorKind::kNotReady;
+  }
+  const auto id = core::FindHeader(request.http.headers,
+                                   options_.dialect.request_id);
+  if (!id || id->empty()) {
+    return core::ErrorKind::kMalformedRequest;
+  }
+  request.id = std::string(*id);
+  request.table = routes_;
+  request.route =
+      routes_->Find(core::FindHeader(request.http.headers, "Host").value_or(""),
+                    core::PathOf(request.http.target));
+  if (request.route == nullptr) {
+    return core::ErrorKind::kNoRoute;
+  }
+  request.service = std::string(ChooseService(*request.route, request.id));
+  return std::nullopt;
+}
+
+void Gateway::Accept(core::CallerId caller, core::HttpRequest http,
+                     core::Time now) {
+  Request request;
+  request.caller = caller;
+  request.http = std::move(http);
+  request.arrived = now;
+  if (const auto error = Route(request)) {
+    Log(log::EventId::kRequestRefused,
+        fmt::format("request={} error={} version={} path={}",
+                    Shown(request.id), core::AnswerOf(*error).name,
+                    routes_->Version(), Shown(request.http.target)));
+    Answer(caller, RefusalAnswer(*error, {}, true));
+    return;
+  }
+  const core::Duration patience = request.route->timeout;
+  request.deadline =
+      now + std::min(patience, RemainingTime(options_.dialect,
+                                             request.http.headers)
+                                   .value_or(patience));
+  Log(log::EventId::kRequestAdmitted,
+      fmt::format("request={} route={} service={} version={} left_ms={}",
+                  Shown(request.id), request.route->id, request.service,
+                  routes_->Version(),
+                  core::ToMilliseconds(request.deadline - now)));
+  request.due = request.deadline;
+  const core::Time due = request.due;
+  const core::Handle handle = requests_.Insert(std::move(request));
+  by_caller_[caller] = handle;
+  by_due_.emplace(due, handle);
+  AskForSlot(handle, now);
+}
+
+void Gateway::Drop(core::CallerId caller, core::Time now) {
+  const auto found = by_caller_.find(caller);
+  if (found == by_caller_.end()) {
+    return;
+  }
+  const core::Handle handle = found->second;
+  Request& request = *requests_.Find(handle);
+  Log(log::EventId::kCallerLeft,
+      fmt::format("request={} sending={}", Shown(request.id),
+                  request.send.has_value()));
+  CancelSendOf(request, SendEnd::kCancelled, now);
+  Erase(handle);
+}
+
+void Gateway::Tick(core::Time now) {
+  while (!by_due_.empty() && by_due_.begin()->first <= now) {
+    const core::Handle handle = by_due_.begin()->second;
+    Request& request = *requests_.Find(handle);
+    if (now >= request.deadline) {
+      const bool may_have_run = request.runs > 0;
+      CancelSendOf(request, SendEnd::kTimedOut, now);
+      Refuse(handle,
+             may_have_run ? core::ErrorKind::kBackendTimeout
+                          : core::ErrorKind::kOverloaded,
+             now);
+    } else if (request.asked && now >= request.asked_until) {
+      broker_.Suspect(*request.asked, now);
+      Log(log::EventId::kDispatcherSilent,
+          fmt::format("request={} vm={}", Shown(request.id),
+                      static_cast<std::uint32_t>(*request.asked)));
+      ChooseAlone(handle, now);
+    } else if (request.send && now >= request.impatient_at) {
+      request.impatient_at = request.deadline;
+      AskForSlot(handle, now);
+    } else {
+      SetDue(handle, request);
+    }
+  }
+  pool_.Expire(now);
+  if (registry_.Expire(now)) {
+    pool_.Follow(registry_, now);
+  }
+  ReportTrust(now);
+}
+
+std::optional<core::Time> Gateway::NextDue() const {
+  std::optional<core::Time> due = registry_.NextDue();
+  if (!by_due_.empty() && (!due || by_due_.begin()->first < *due)) {
+    due = by_due_.begin()->first;
+  }
+  return due;
+}
+
+void Gateway::Deliver(core::Handle handle, core::HttpAnswer answer,
+                      core::Time now) {
+  const Request& request = *requests_.Find(handle);
+  Log(log::EventId::kRequestAnswered,
+      fmt::format("request={} status={} server={} sends={} ms={}",
+                  Shown(request.id), answer.status,
+                  request.send ? request.send->slot.server : "-",
+                  request.arrivals, core::ToMilliseconds(now - request.arrived)));
+  answer.headers = core::EndToEndHeaders(answer.headers);
+  Answer(request.caller, std::move(answer));
+  Erase(handle);
+}
+
+void Gateway::Refuse(core::Handle handle, core::ErrorKind kind,
+                     core::Time now) {
+  const Request& request = *requests_.Find(handle);
+  // A status that promises "not run" is true only if no server may have run it.
+  const bool may_have_run = request.runs > 0;
+  if (may_have_run && PromisesNotRun(core::AnswerOf(kind).status)) {
+    kind = core::ErrorKind::kBackendLost;
+  }
+  Log(log::EventId::kRequestRefused,
+      fmt::format("request={} error={} sends={} runs={} ms={}",
+                  Shown(request.id), core::AnswerOf(kind).name,
+                  request.arrivals, request.runs,
+                  core::ToMilliseconds(now - request.arrived)));
+  Answer(request.caller,
+         RefusalAnswer(kind, request.deadline - now, !may_have_run));
+  Erase(handle);
+}
+
+void Gateway::Answer(core::CallerId caller, core::HttpAnswer answer) {
+  if (stopping_) {
+    // A connection that stays open could carry a request after the exit.
+    answer.headers.push_back({"Connection", "close"});
+  }
+  actions_.emplace_back(node::AnswerCaller{caller, std::move(answer)});
+}
+
+void Gateway::SetDue(core::Handle handle, Request& request) {
+  core::Time due = request.deadline;
+  if (request.asked) {
+    due = std::min(due, request.asked_until);
+  }
+  if (request.send) {
+    due = std::min(due, request.impatient_at);
+  }
+  by_due_.erase({request.due, handle});
+  request.due = due;
+  by_due_.emplace(due, handle);
+}
+
+void Gateway::Erase(core::Handle handle) {
+  const Request& request = *requests_.Find(handle);
+  by_caller_.erase(request.caller);
+  by_due_.erase({request.due, handle});
+  if (request.send) {
+    by_send_.erase(request.send->number);
+  }
+  requests_.Erase(handle);
+}
+
+void Gateway::ReportTrust(core::Time /*now*/) {
+  for (const TrustChange& it : pool_.TakeChanges()) {
+    Log(log::EventId::kServerTrust,
+        fmt::format("server={} trust={} cause={}", it.server,
+                    kServerTrustNames.Name(it.to),
+                    kSendEndNames.Name(it.cause)));
+  }
+}
+
+void Gateway::Log(log::EventId id, std::string detail) {
+  actions_.emplace_back(node::WriteLog{{id, std::move(detail)}});
+}
+
+}  // namespace bambootack::gateway
--- /dev/null
+++ b/src/bambootack/gateway/gateway.h
@@ -0,0 +1,236 @@
+#ifndef BAMBOOTACK_GATEWAY_GATEWAY_H_
+#define BAMBOOTACK_GATEWAY_GATEWAY_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "bambootack/core/error_kind.h"
+#include "bambootack/core/random.h"
+#include "bambootack/core/table.h"
+#include "bambootack/dispatch/retry_budget.h"
+#include "bambootack/gateway/dialect.h"
+#include "bambootack/gateway/messages.h"
+#include "bambootack/gateway/route_table.h"
+#include "bambootack/gateway/server_pool.h"
+#include "bambootack/gateway/server_registry.h"
+#include "bambootack/gateway/slot_broker.h"
+#include "bambootack/log/event.h"
+#include "bambootack/node/actions.h"
+#include "bambootack/node/events.h"
+
+namespace bambootack::gateway {
+
+/// @brief What a gateway needs to know of its VM and platform.
+struct GatewayOptions {
+  core::VmId vm{};
+  std::string failure_domain;
+  Dialect dialect;
+  double repeat_share = 0.1;  ///< Second sends for each first one.
+  double repeat_burst = 1.0;  ///< Second sends without first ones, whole fleet.
+};
+
+/// @brief Send a request to a server.
+struct StartSend {
+  std::uint64_t send = 0;
+  std::string address;
+  core::HttpRequest http;
+  core::Duration timeout{};
+};
+
+/// @brief Close the connection of a send.
+struct CancelSend {
+  std::uint64_t send = 0;
+};
+
+/// @brief Send a message to another gateway.
+struct TellPeer {
+  core::VmId vm{};
+  PeerMessage message;
+};
+
+/// @brief Everything that a gateway asks its shell to do.
+using GatewayAction = std::variant<node::AnswerCaller, StartSend, CancelSend,
+                                   TellPeer, node::WriteLog>;
+
+/// @brief Serves requests without idempotency keys: each reaches one entry, and
+/// that entry alone decides whether it is sent again. The dispatcher of the
+/// service gives each send a server; while it does not answer, the entry
+/// chooses by its own knowledge. Events and time in, actions out.
+class Gateway {
+ public:
+  /// @brief Creates a gateway without configuration.
+  /// @param options Its options.
+  /// @param seed Seed of its random numbers.
+  Gateway(GatewayOptions options, std::uint64_t seed);
+
+  /// @brief Takes over a configuration unless a higher version is in force.
+  /// @param config The configuration.
+  /// @param now Current time.
+  void Configure(GatewayConfig config, core::Time now);
+
+  /// @brief Registry of servers, to be fed by the platform's reader.
+  /// @return The registry.
+  [[nodiscard]] ServerRegistry& Registry() noexcept { return registry_; }
+
+  /// @brief Takes over changes of the registry.
+  /// @param now Current time.
+  void FollowRegistry(core::Time now) { pool_.Follow(registry_, now); }
+
+  /// @brief Takes a caller's request.
+  /// @param caller Number of the caller.
+  /// @param http The request.
+  /// @param now Current time.
+  void Accept(core::CallerId caller, core::HttpRequest http, core::Time now);
+
+  /// @brief Ends the work for a caller that has hung up.
+  /// @param caller Number of the caller.
+  /// @param now Current time.
+  void Drop(core::CallerId caller, core::Time now);
+
+  /// @brief Takes the result of a send.
+  /// @param send Its number.
+  /// @param end How the attempt ended.
+  /// @param answer The server's answer, if there is one.
+  /// @param now Current time.
+  void Finish(std::uint64_t send, node::AttemptEnd end,
+              core::HttpAnswer answer, core::Time now);
+
+  /// @brief Takes a message of another gateway.
+  /// @param from The sender.
+  /// @param message The message.
+  /// @param now Current time.
+  void Receive(core::VmId from, PeerMessage message, core::Time now);
+
+  /// @brief Does what is due.
+  /// @param now Current time.
+  void Tick(core::Time now);
+
+  /// @brief When `Tick` is due.
+  /// @return The time, or nothing while nothing is pending.
+  [[nodiscard]] std::optional<core::Time> NextDue() const;
+
+  /// @brief Begins a planned stop: answers ask callers to reconnect.
+  void Stop() noexcept { stopping_ = true; }
+
+  /// @brief Tells whether the VM should get new connections.
+  /// @return True if it is configured, knows servers and is not stopping.
+  [[nodiscard]] bool IsReady() const noexcept {
+    return !stopping_ && routes_->Version() > 0 &&
+           !registry_.Servers().empty();
+  }
+
+  /// @brief The VMs of the fleet.
+  /// @return The broker.
+  [[nodiscard]] SlotBroker& Broker() noexcept { return broker_; }
+
+  /// @brief Requests that wait for their answers.
+  /// @return The count.
+  [[nodiscard]] std::size_t InFlight() const noexcept {
+    return requests_.size();
+  }
+
+  /// @brief Routes in force.
+  /// @return The table.
+  [[nodiscard]] const RouteTable& Routes() const noexcept { return *routes_; }
+
+  /// @brief Takes the actions since the last call.
+  /// @return The actions, in order.
+  [[nodiscard]] std::vector<GatewayAction> TakeActions() {
+    return std::exchange(actions_, {});
+  }
+
+ private:
+  struct Send {
+    std::uint64_t number = 0;
+    Slot slot;
+    core::VmId granter{};
+  };
+
+  struct Request {
+    core::CallerId caller{};
+    core::HttpRequest http;
+    std::string id;
+    std::shared_ptr<const RouteTable> table;  ///< Owns the route.
+    const GatewayRoute* route = nullptr;
+    std::string service;
+    core::Time arrived{};
+    core::Time deadline{};
+    std::uint32_t asks = 0;      ///< Slots asked for.
+    int arrivals = 0;            ///< Sends that may have reached a server.
+    int runs = 0;                ///< Sends that a server may have run.
+    std::optional<core::VmId> asked;  ///< Dispatcher that has yet to reply.
+    core::Time asked_until{};
+    std::optional<Send> send;         ///< Send in flight.
+    core::Time impatient_at{};        ///< When a read is sent once more.
+    std::vector<std::string> failed;  ///< Servers that did not serve it.
+    core::ErrorKind last_error = core::ErrorKind::kNoServer;
+    core::Time due{};
+  };
+
+  void On(core::VmId from, SlotRequest& message, core::Time now);
+  void On(core::VmId from, SlotReply& message, core::Time now);
+  void On(core::VmId from, SlotRelease& message, core::Time now);
+  void On(core::VmId from, MemberNotice& message, core::Time now);
+  void On(core::VmId from, TopicUpdate& message, core::Time now);
+
+  [[nodiscard]] std::optional<core::ErrorKind> Route(Request& request) const;
+  [[nodiscard]] SlotNeed NeedOf(const Request& request, core::Time now) const;
+  void AskForSlot(core::Handle handle, core::Time now);
+  void ChooseAlone(core::Handle handle, core::Time now);
+  void UseSlot(core::Handle handle, std::optional<Slot> slot,
+               core::VmId granter, core::Time now);
+  void StartOn(core::Handle handle, Slot slot, core::VmId granter,
+               core::Time now);
+  void GiveBack(const Send& send, SendEnd end,
+                const std::optional<ServerLoad>& load, core::Time now);
+  void GiveBack(core::VmId granter, std::uint64_t lease, SendEnd end,
+                const std::optional<ServerLoad>& load, core::Time now);
+  void SendAgainOrFail(core::Handle handle, core::Time now);
+  using Budgets = std::map<std::string, dispatch::RetryBudget, std::less<>>;
+
+  [[nodiscard]] dispatch::RetryBudget& BudgetOf(Budgets& budgets,
+                                                const std::string& service,
+                                                double burst) const;
+  [[nodiscard]] bool Count(bool alone, bool repeat, const std::string& service);
+  [[nodiscard]] bool MaySendAgain(const Request& request,
+                                  core::Time now) const;
+  void Deliver(core::Handle handle, core::HttpAnswer answer, core::Time now);
+  void Refuse(core::Handle handle, core::ErrorKind kind, core::Time now);
+  void Answer(core::CallerId caller, core::HttpAnswer answer);
+  void CancelSendOf(Request& request, SendEnd end, core::Time now);
+  void SetDue(core::Handle handle, Request& request);
+  void Erase(core::Handle handle);
+  void ReportTrust(core::Time now);
+  void Log(log::EventId id, std::string detail);
+
+  GatewayOptions options_;
+  core::Random random_;
+  std::shared_ptr<const RouteTable> routes_ =
+      std::make_shared<const RouteTable>();
+  ServerRegistry registry_;
+  ServerPool pool_;
+  SlotBroker broker_;
+  core::Table<Request> requests_;
+  std::unordered_map<core::CallerId, core::Handle> by_caller_;
+  std::unordered_map<std::uint64_t, core::Handle> by_send_;
+  std::set<std::pair<core::Time, core::Handle>> by_due_;
+  std::map<std::string, core::Time, std::less<>> unreachable_until_;
+  Budgets fleet_budgets_;  ///< As dispatcher, for all entries.
+  Budgets alone_budgets_;  ///< As an entry that hears no dispatcher.
+  std::vector<GatewayAction> actions_;
+  std::uint64_t last_send_ = 0;
+  bool stopping_ = false;
+};
+
+}  // namespace bambootack::gateway
+
+#endif  // BAMBOOTACK_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/src/bambootack/gateway/gateway_sends.cc
@@ -0,0 +1,330 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "bambootack/gateway/gateway.h"
+
+// Slots, sends and repeats of a gateway's requests.
+
+namespace bambootack::gateway {
+namespace {
+
+/// Wait for a dispatcher's reply. A round trip takes 2 ms between failure
+/// domains, and a VM with 0.15 of a core may need some milliseconds more.
+constexpr core::Duration kSlotWait = std::chrono::milliseconds(25);
+
+/// Sends of one request that servers refused to run, or that did not reach one.
+constexpr int kMaxAsks = 5;
+
+/// A server that this VM cannot connect to is left out for this long.
+constexpr core::Duration kUnreachableTime = std::chrono::milliseconds(1500);
+
+/// A read is sent once more when its answer takes this many times as long as
+/// usual, and at least `kLeastImpatience`.
+constexpr int kImpatienceFactor = 3;
+constexpr core::Duration kLeastImpatience = std::chrono::milliseconds(300);
+
+/// Share of the target that a request may wait in a server's queue.
+constexpr int kPatienceDivisor = 2;
+
+/// Shares of the budget for repeated sends. The dispatcher's part and the
+/// parts of entries that hear no dispatcher add up to less than the whole.
+constexpr double kFleetPart = 0.5;
+constexpr double kAlonePart = 0.4;
+
+}  // namespace
+
+SlotNeed Gateway::NeedOf(const Request& request, core::Time now) const {
+  SlotNeed need;
+  need.service = request.service;
+  need.route = request.route->id;
+  need.repeatable = request.route->repeatable;
+  need.priority = request.route->priority;
+  need.failure_domain = options_.failure_domain;
+  const auto left =
+      std::chrono::duration_cast<core::Duration>(request.deadline - now);
+  need.patience = std::min(request.route->target, left) / kPatienceDivisor;
+  need.excluded = request.failed;
+  for (const auto& [server, until] : unreachable_until_) {
+    if (now < until) {
+      need.excluded.push_back(server);
+    }
+  }
+  return need;
+}
+
+void Gateway::AskForSlot(core::Handle handle, core::Time now) {
+  Request& request = *requests_.Find(handle);
+  ++request.asks;
+  const core::VmId dispatcher = broker_.Choose(request.service, now);
+  if (dispatcher == options_.vm) {
+    const bool allowed = Count(false, request.arrivals > 0, request.service);
+    UseSlot(handle,
+            allowed ? pool_.Acquire(NeedOf(request, now), options_.vm, now,
+                                    random_)
+                    : std::nullopt,
+            options_.vm, now);
+    return;
+  }
+  request.asked = dispatcher;
+  request.asked_until = now + kSlotWait;
+  SetDue(handle, request);
+  actions_.emplace_back(
+      TellPeer{dispatcher, SlotRequest{{handle, request.asks},
+                                       request.arrivals > 0,
+                                       NeedOf(request, now)}});
+}
+
+void Gateway::ChooseAlone(core::Handle handle, core::Time now) {
+  Request& request = *requests_.Find(handle);
+  request.asked.reset();
+  const bool allowed = Count(true, request.arrivals > 0, request.service);
+  UseSlot(handle,
+          allowed ? pool_.Acquire(NeedOf(request, now), options_.vm, now,
+                                  random_)
+                  : std::nullopt,
+          options_.vm, now);
+}
+
+dispatch::RetryBudget& Gateway::BudgetOf(Budgets& budgets,
+                                         const std::string& service,
+                                         double burst) const {
+  const auto [it, created] = budgets.try_emplace(service);
+  if (created) {
+    it->second.Configure(options_.repeat_share * kFleetPart, burst);
+  }
+  return it->second;
+}
+
+/// Counts a send. Returns false for a repeat that exceeds the budget.
+bool Gateway::Count(bool alone, bool repeat, const std::string& service) {
+  const double burst =
+      alone ? options_.repeat_burst * kAlonePart /
+                  static_cast<double>(broker_.Size())
+            : options_.repeat_burst * kFleetPart;
+  dispatch::RetryBudget& budget =
+      BudgetOf(alone ? alone_budgets_ : fleet_budgets_, service, burst);
+  if (repeat) {
+    return budget.Take();
+  }
+  budget.Count();
+  return true;
+}
+
+/// Starts the send, or ends the request if there is no slot. A request whose
+/// first send is still in flight waits for that one.
+void Gateway::UseSlot(core::Handle handle, std::optional<Slot> slot,
+                      core::VmId granter, core::Time now) {
+  Request& request = *requests_.Find(handle);
+  if (slot) {
+    StartOn(handle, *std::move(slot), granter, now);
+  } else if (request.send) {
+    SetDue(handle, request);
+  } else {
+    Refuse(handle,
+           request.runs > 0 ? request.last_error : core::ErrorKind::kOverloaded,
+           now);
+  }
+}
+
+void Gateway::StartOn(core::Handle handle, Slot slot, core::VmId granter,
+                      core::Time now) {
+  Request& request = *requests_.Find(handle);
+  if (request.send) {
+    request.failed.push_back(request.send->slot.server);
+    CancelSendOf(request, SendEnd::kTimedOut, now);
+  }
+  const auto left =
+      std::chrono::duration_cast<core::Duration>(request.deadline - now);
+  const std::uint64_t number = ++last_send_;
+  Log(log::EventId::kRequestSent,
+      fmt::format("request={} server={} address={} send={} granter={} "
+                  "left_ms={}",
+                  request.id, slot.server, slot.address, request.asks,
+                  static_cast<std::uint32_t>(granter),
+                  core::ToMilliseconds(left)));
+  actions_.emplace_back(
+      StartSend{number, slot.address,
+                ToServerRequest(options_.dialect, request.http, slot.server,
+                                left),
+                left});
+  by_send_[number] = handle;
+  request.send = Send{number, std::move(slot), granter};
+  ++request.arrivals;
+  ++request.runs;
+  request.impatient_at = request.deadline;
+  if (request.route->repeatable &&
+      request.runs < request.route->max_attempts) {
+    const auto usual = pool_.UsualTime(request.route->id);
+    const core::Duration wait =
+        std::max(kLeastImpatience,
+                 usual.value_or(request.route->target) * kImpatienceFactor);
+    request.impatient_at = std::min(request.deadline, now + wait);
+  }
+  SetDue(handle, request);
+}
+
+void Gateway::Finish(std::uint64_t send, node::AttemptEnd end,
+                     core::HttpAnswer answer, core::Time now) {
+  const auto found = by_send_.find(send);
+  if (found == by_send_.end()) {
+    return;
+  }
+  const core::Handle handle = found->second;
+  Request& request = *requests_.Find(handle);
+  SendEnd result = SendEnd::kLost;
+  std::optional<ServerLoad> load;
+  switch (end) {
+    case node::AttemptEnd::kAnswered:
+      result = Classify(options_.dialect, request.id, answer);
+      load = ReportedLoad(options_.dialect, answer.headers);
+      break;
+    case node::AttemptEnd::kNotConnected:
+      result = SendEnd::kUnreachable;
+      break;
+    case node::AttemptEnd::kLost:
+      result = SendEnd::kLost;
+      break;
+    case node::AttemptEnd::kTimedOut:
+      result = SendEnd::kTimedOut;
+      break;
+    case node::AttemptEnd::kInvalid:
+      result = SendEnd::kInvalid;
+      break;
+  }
+  const Send done = *std::exchange(request.send, std::nullopt);
+  by_send_.erase(found);
+  GiveBack(done, result, load, now);
+  Log(log::EventId::kSendEnded,
+      fmt::format("request={} server={} end={} status={} ms={}", request.id,
+                  done.slot.server, kSendEndNames.Name(result), answer.status,
+                  core::ToMilliseconds(now - request.arrived)));
+  request.failed.push_back(done.slot.server);
+  switch (result) {
+    case SendEnd::kServed:
+      request.send = done;
+      Deliver(handle, std::move(answer), now);
+      return;
+    case SendEnd::kServerError:
+      request.last_error = core::ErrorKind::kBackendLost;
+      if (MaySendAgain(request, now)) {
+        break;
+      }
+      if (PromisesNotRun(answer.status)) {
+        Refuse(handle, core::ErrorKind::kBackendLost, now);
+      } else {
+        Deliver(handle, std::move(answer), now);
+      }
+      return;
+    case SendEnd::kUnreachable:
+      unreachable_until_[done.slot.server] = now + kUnreachableTime;
+      --request.arrivals;
+      --request.runs;
+      break;
+    case SendEnd::kNotRun:
+    case SendEnd::kWrongServer:
+      --request.runs;
+      break;
+    case SendEnd::kInvalid:
+      request.last_error = core::ErrorKind::kBackendAnswerInvalid;
+      break;
+    case SendEnd::kTimedOut:
+      request.last_error = core::ErrorKind::kBackendTimeout;
+      break;
+    case SendEnd::kLost:
+    case SendEnd::kCancelled:
+      request.last_error = core::ErrorKind::kBackendLost;
+      break;
+  }
+  SendAgainOrFail(handle, now);
+}
+
+bool Gateway::MaySendAgain(const Request& request, core::Time now) const {
+  const bool proven_unrun = request.runs == 0;
+  const bool attempts_left = request.route->repeatable &&
+                             request.runs < request.route->max_attempts;
+  return (proven_unrun || attempts_left) && request.asks < kMaxAsks &&
+         now < request.deadline;
+}
+
+void Gateway::SendAgainOrFail(core::Handle handle, core::Time now) {
+  Request& request = *requests_.Find(handle);
+  if (request.asked) {
+    SetDue(handle, request);  // The slot for the next send is on its way.
+  } else if (MaySendAgain(request, now)) {
+    AskForSlot(handle, now);
+  } else {
+    Refuse(handle,
+           request.runs > 0 ? request.last_error : core::ErrorKind::kNoServer,
+           now);
+  }
+}
+
+void Gateway::CancelSendOf(Request& request, SendEnd end, core::Time now) {
+  if (!request.send) {
+    return;
+  }
+  const Send send = *std::exchange(request.send, std::nullopt);
+  by_send_.erase(send.number);
+  actions_.emplace_back(CancelSend{send.number});
+  GiveBack(send, end, std::nullopt, now);
+}
+
+void Gateway::GiveBack(const Send& send, SendEnd end,
+                       const std::optional<ServerLoad>& load, core::Time now) {
+  GiveBack(send.granter, send.slot.lease, end, load, now);
+}
+
+void Gateway::GiveBack(core::VmId granter, std::uint64_t lease, SendEnd end,
+                       const std::optional<ServerLoad>& load, core::Time now) {
+  if (granter == options_.vm) {
+    pool_.Release(lease, end, load, now);
+  } else {
+    actions_.emplace_back(TellPeer{granter, SlotRelease{lease, end, load}});
+  }
+}
+
+void Gateway::Receive(core::VmId from, PeerMessage message, core::Time now) {
+  std::visit([&](auto& it) { On(from, it, now); }, message);
+  ReportTrust(now);
+}
+
+void Gateway::On(core::VmId from, SlotRequest& message, core::Time now) {
+  std::optional<Slot> slot;
+  if (Count(false, message.repeat, message.need.service)) {
+    slot = pool_.Acquire(message.need, from, now, random_);
+  }
+  actions_.emplace_back(
+      TellPeer{from, SlotReply{message.key, std::move(slot)}});
+}
+
+void Gateway::On(core::VmId from, SlotReply& message, core::Time now) {
+  broker_.Trust(from);
+  Request* request = requests_.Find(message.key.request);
+  const bool awaited = request != nullptr && request->asked == from &&
+                       request->asks == message.key.send;
+  if (awaited) {
+    request->asked.reset();
+    UseSlot(message.key.request, std::move(message.slot), from, now);
+  } else if (message.slot) {
+    GiveBack(from, message.slot->lease, SendEnd::kCancelled, std::nullopt, now);
+  }
+}
+
+void Gateway::On(core::VmId /*from*/, SlotRelease& message, core::Time now) {
+  pool_.Release(message.lease, message.end, message.load, now);
+}
+
+void Gateway::On(core::VmId from, MemberNotice& message, core::Time now) {
+  if (message.leaving) {
+    broker_.Suspect(from, now);
+  } else {
+    broker_.Trust(from);
+    broker_.Add({from, {}, message.address, message.failure_domain});
+  }
+}
+
+void Gateway::On(core::VmId /*from*/, TopicUpdate& /*message*/,
+                 core::Time /*now*/) {}
+
+}  // namespace bambootack::gateway
--- /dev/null
+++ b/src/bambootack/gateway/route_table.cc
@@ -0,0 +1,69 @@
+#include "bambootack/gateway/route_table.h"
+
+#include <boost/algorithm/string/case_conv.hpp>
+#include <utility>
+
+#include "bambootack/core/hash.h"
+
+namespace bambootack::gateway {
+namespace {
+
+std::string_view WithoutPort(std::string_view host) {
+  return host.substr(0, host.find(':'));
+}
+
+/// Position of a hash in [0, 1).
+double UnitOf(std::uint64_t hash) {
+  constexpr int kMantissaBits = 53;
+  return static_cast<double>(hash >> (64 - kMantissaBits)) /
+         static_cast<double>(1ULL << kMantissaBits);
+}
+
+}  // namespace
+
+RouteTable::RouteTable(GatewayConfig config) : config_(std::move(config)) {
+  for (std::size_t i = 0; i < config_.routes.size(); ++i) {
+    const GatewayRoute& it = config_.routes[i];
+    hosts_[boost::algorithm::to_lower_copy(it.host)][it.path_prefix] = i;
+  }
+}
+
+const GatewayRoute* RouteTable::Find(std::string_view host,
+                                     std::string_view path) const {
+  const auto prefixes = hosts_.find(
+      boost::algorithm::to_lower_copy(std::string(WithoutPort(host))));
+  if (prefixes == hosts_.end()) {
+    return nullptr;
+  }
+  // Prefixes end with a slash, so only those ends of the path can match.
+  std::size_t end = path.rfind('/');
+  while (end != std::string_view::npos) {
+    const auto found = prefixes->second.find(path.substr(0, end + 1));
+    if (found != prefixes->second.end()) {
+      return &config_.routes[found->second];
+    }
+    end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1);
+  }
+  return nullptr;
+}
+
+std::string_view ChooseService(const GatewayRoute& route,
+                               std::string_view request_id) {
+  if (route.parts.size() == 1) {
+    return route.parts.front().service;
+  }
+  double total = 0.0;
+  for (const RoutePart& it : route.parts) {
+    total += it.weight;
+  }
+  double position = UnitOf(core::HashBytes(request_id)) * total;
+  for (const RoutePart& it : route.parts) {
+    if (position < it.weight) {
+      return it.service;
+    }
+    position -= it.weight;
+  }
+  return {};
+}
+
+}  // namespace bambootack::gateway
--- /dev/null
+++ b/src/bambootack/gateway/server_pool.cc
@@ -0,0 +1,286 @@
+#include "bambootack/gateway/server_pool.h"
+
+#include <algorithm>
+
+namespace bambootack::gateway {
+namespace {
+
+/// Pause after a lost connection or a wrong answer. Faults of this kind last
+/// for seconds; a trial request costs one retry of a read.
+constexpr core::Duration kShortRest = std::chrono::milliseconds(800);
+
+/// Longest pause. The floor (RULES) counts a server as sound two seconds after
+/// its own failure, so that it gets requests again by then.
+constexpr core::Duration kLongRest = std::chrono::milliseconds(1900);
+
+/// Pause after a server refused a request for lack of room.
+constexpr core::Duration kFullRest = std::chrono::milliseconds(60);
+
+/// Successes on trial after a lost connection. Servers that lose most of their
+/// requests pass one trial in seven.
+constexpr int kGoodAfterLoss = 2;
+
+/// A server whose trial finds no repeatable request gets others after this.
+constexpr core::Duration kTrialPatience = std::chrono::milliseconds(2500);
+
+/// Unreachable reports of two VMs within this time condemn the server and not
+/// the path.
+constexpr core::Duration kSamePath = std::chrono::milliseconds(1500);
+
+/// Reported loads are used for this long.
+constexpr core::Duration kLoadLife = std::chrono::milliseconds(500);
+
+/// A request is overdue when it takes this many times its usual time, and at
+/// least `kOverdueSlack` more than that time.
+constexpr int kOverdueFactor = 4;
+constexpr core::Duration kOverdueSlack = std::chrono::milliseconds(250);
+
+/// Before the first answer of a route its usual time is taken as this.
+constexpr core::Duration kUsualTimeGuess = std::chrono::milliseconds(500);
+
+/// Weight of the newest sample in the usual time.
+constexpr double kUsualTimeGain = 0.1;
+
+/// Leases that are not given back expire after this: no route waits longer.
+constexpr core::Duration kLeaseLife = std::chrono::seconds(15);
+
+/// Extra load of a server that is still warming up.
+constexpr double kColdLoad = 0.34;
+
+constexpr int kTrustedTier = 0;
+constexpr int kTrialTier = -1;    // Repeatable requests serve as trials.
+constexpr int kLastResortTier = 2;
+
+}  // namespace
+
+void ServerPool::Follow(const ServerRegistry& registry, core::Time /*now*/) {
+  std::erase_if(rows_, [&](const auto& it) {
+    return !registry.Servers().contains(it.first);
+  });
+  by_service_.clear();
+  for (const auto& [id, it] : registry.Servers()) {
+    Row& row = rows_[id];
+    row.id = id;
+    row.service = it.record.service;
+    if (row.address != it.record.address) {
+      row.address = it.record.address;
+      row.good_needed = 0;
+    }
+    row.failure_domain = it.record.failure_domain;
+    row.slots = std::max(1, it.record.slots);
+    row.draining = it.record.draining;
+    row.warm_at = it.warm_at;
+    if (!row.draining) {
+      by_service_[row.service].push_back(id);
+    }
+  }
+}
+
+double ServerPool::LoadOf(const Row& row, core::Time now) const {
+  double busy = row.in_flight;
+  if (now - row.load_at < kLoadLife) {
+    // The report still counts the request that it came with.
+    busy = std::max(busy, static_cast<double>(row.load.running +
+                                              row.load.waiting - 1));
+  }
+  const double cold = now < row.warm_at ? kColdLoad : 0.0;
+  return busy / row.slots + cold;
+}
+
+bool ServerPool::HasOverdue(const Row& row, core::Time now) const {
+  for (auto it = by_server_.lower_bound({row.id, 0});
+       it != by_server_.end() && it->first == row.id; ++it) {
+    if (leases_.at(it->second).overdue_at <= now) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// Requests that may be at the server before one more would wait too long.
+double ServerPool::QueueLimit(const Row& row, const SlotNeed& need) const {
+  const auto usual = UsualTime(need.route).value_or(kUsualTimeGuess);
+  const double turns =
+      usual.count() > 0 ? static_cast<double>(need.patience.count()) /
+                              static_cast<double>(usual.count())
+                        : 0.0;
+  return row.slots * (1.0 + std::max(0.0, turns));
+}
+
+std::optional<ServerPool::Preference> ServerPool::Rate(
+    const Row& row, const SlotNeed& need, core::Time now,
+    core::Random& random) const {
+  if (std::find(need.excluded.begin(), need.excluded.end(), row.id) !=
+      need.excluded.end()) {
+    return std::nullopt;
+  }
+  const double load = LoadOf(row, now);
+  if (now < row.full_until || load * row.slots >= QueueLimit(row, need)) {
+    return std::nullopt;
+  }
+  Preference result;
+  result.load = load;
+  result.remote = row.failure_domain != need.failure_domain;
+  result.tie = random.Engine()();
+  const bool overdue = HasOverdue(row, now);
+  if (row.good_needed == 0) {
+    result.tier = overdue ? kLastResortTier : kTrustedTier;
+    return result;
+  }
+  const bool rested = now >= row.rest_until;
+  const bool waited = now >= row.rest_until + kTrialPatience;
+  if (rested && row.trials == 0 && (need.repeatable || waited) && !overdue) {
+    result.tier = kTrialTier;
+    return result;
+  }
+  // Among servers that failed, the one that has rested longest comes first.
+  result.tier = kLastResortTier + 1;
+  result.load = static_cast<double>(row.rest_until.time_since_epoch().count());
+  return result;
+}
+
+std::optional<Slot> ServerPool::Acquire(const SlotNeed& need, core::VmId holder,
+                                        core::Time now, core::Random& random) {
+  const auto servers = by_service_.find(need.service);
+  if (servers == by_service_.end()) {
+    return std::nullopt;
+  }
+  std::optional<Preference> best;
+  Row* chosen = nullptr;
+  for (const std::string& id : servers->second) {
+    Row& row = rows_.find(id)->second;
+    const auto preference = Rate(row, need, now, random);
+    if (preference && (!best || *preference < *best)) {
+      best = preference;
+      chosen = &row;
+    }
+  }
+  if (chosen == nullptr) {
+    return std::nullopt;
+  }
+  return Grant(*chosen, need, holder, best->tier == kTrialTier, now);
+}
+
+Slot ServerPool::Grant(Row& row, const SlotNeed& need, core::VmId holder,
+                       bool trial, core::Time now) {
+  const core::Duration usual = UsualTime(need.route).value_or(kUsualTimeGuess);
+  Lease lease;
+  lease.server = row.id;
+  lease.route = need.route;
+  lease.holder = holder;
+  lease.start = now;
+  lease.overdue_at =
+      now + std::max(usual * kOverdueFactor, usual + kOverdueSlack);
+  lease.trial = trial;
+  ++row.in_flight;
+  row.trials += trial ? 1 : 0;
+  const std::uint64_t number = ++last_lease_;
+  by_server_.emplace(row.id, number);
+  leases_.emplace(number, std::move(lease));
+  return {number, row.id, row.address};
+}
+
+void ServerPool::Release(std::uint64_t lease, SendEnd end,
+                         const std::optional<ServerLoad>& load,
+                         core::Time now) {
+  const auto found = leases_.find(lease);
+  if (found == leases_.end()) {
+    return;
+  }
+  const Lease it = std::move(found->second);
+  leases_.erase(found);
+  by_server_.erase({it.server, lease});
+  const auto row = rows_.find(it.server);
+  if (row == rows_.end()) {
+    return;
+  }
+  row->second.in_flight = std::max(0, row->second.in_flight - 1);
+  row->second.trials -= it.trial ? 1 : 0;
+  if (load) {
+    row->second.load = *load;
+    row->second.load_at = now;
+  }
+  Judge(row->second, it, end, now);
+}
+
+void ServerPool::Judge(Row& row, const Lease& lease, SendEnd end,
+                       core::Time now) {
+  switch (end) {
+    case SendEnd::kServed:
+      Learn(lease, now);
+      Succeed(row);
+      break;
+    case SendEnd::kServerError:
+      // One error in many is usual; a second one in a row is not.
+      if (row.failures == 0) {
+        Fail(row, end, core::Duration{}, 1, now);
+      } else {
+        Fail(row, end, kShortRest, kGoodAfterLoss, now);
+      }
+      break;
+    case SendEnd::kLost:
+    case SendEnd::kInvalid:
+    case SendEnd::kTimedOut:
+    case SendEnd::kWrongServer:
+      Fail(row, end, kShortRest, kGoodAfterLoss, now);
+      break;
+    case SendEnd::kNotRun:
+      row.full_until = now + kFullRest;
+      break;
+    case SendEnd::kUnreachable:
+      if (row.unreachable_from != core::kNoVm &&
+          row.unreachable_from != lease.holder &&
+          now - row.unreachable_at < kSamePath) {
+        Fail(row, end, kShortRest, 1, now);
+      }
+      row.unreachable_from = lease.holder;
+      row.unreachable_at = now;
+      break;
+    case SendEnd::kCancelled:
+      break;
+  }
+}
+
+void ServerPool::Fail(Row& row, SendEnd cause, core::Duration rest,
+                      int good_needed, core::Time now) {
+  ++row.failures;
+  const core::Duration pause = std::min(kLongRest, rest * row.failures);
+  row.rest_until = std::max(row.rest_until, now + pause);
+  row.good_needed = std::max(row.good_needed, good_needed);
+  Note(row, pause.count() > 0 ? ServerTrust::kResting : ServerTrust::kTrial,
+       cause);
+}
+
+void ServerPool::Succeed(Row& row) {
+  row.failures = 0;
+  row.unreachable_from = core::kNoVm;
+  if (row.good_needed > 0 && --row.good_needed == 0) {
+    Note(row, ServerTrust::kTrusted, SendEnd::kServed);
+  }
+}
+
+void ServerPool::Learn(const Lease& lease, core::Time now) {
+  const auto [it, first] = usual_.try_emplace(lease.route, now - lease.start);
+  if (!first) {
+    const auto delta = static_cast<double>((now - lease.start - it->second).count());
+    it->second += core::Duration(static_cast<std::int64_t>(delta * kUsualTimeGain));
+  }
+}
+
+void ServerPool::Note(const Row& row, ServerTrust to, SendEnd cause) {
+  changes_.push_back({row.id, to, cause});
+}
+
+void ServerPool::Expire(core::Time now) {
+  while (!leases_.empty() && leases_.begin()->second.start + kLeaseLife <= now) {
+    Release(leases_.begin()->first, SendEnd::kCancelled, std::nullopt, now);
+  }
+}
+
+std::optional<core::Duration> ServerPool::UsualTime(
+    std::string_view route) const {
+  const auto it = usual_.find(route);
+  return it == usual_.end() ? std::nullopt : std::optional(it->second);
+}
+
+}  // namespace bambootack::gateway
--- /dev/null
+++ b/src/bambootack/gateway/server_pool.h
@@ -0,0 +1,179 @@
+#ifndef BAMBOOTACK_GATEWAY_SERVER_POOL_H_
+#define BAMBOOTACK_GATEWAY_SERVER_POOL_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "bambootack/core/ids.h"
+#include "bambootack/core/random.h"
+#include "bambootack/core/time.h"
+#include "bambootack/gateway/model.h"
+#include "bambootack/gateway/server_registry.h"
+
+namespace bambootack::gateway {
+
+/// @brief What a request needs of a server.
+struct SlotNeed {
+  std::string service;
+  std::string route;
+  bool repeatable = false;
+  int priority = 0;
+  core::Duration patience{};  ///< Longest useful wait in a server's queue.
+  std::string failure_domain;  ///< Preferred among equals.
+  std::vector<std::string> excluded;  ///< Servers that the asker cannot use.
+};
+
+/// @brief A right to send one request to a server.
+struct Slot {
+  std::uint64_t lease = 0;
+  std::string server;
+  std::string address;
+};
+
+/// @brief Load that a server reported with an answer.
+struct ServerLoad {
+  int running = 0;
+  int waiting = 0;
+};
+
+/// @brief Whether a server gets work.
+enum class ServerTrust : std::uint8_t {
+  kTrusted,  ///< Gets work up to its slots.
+  kTrial,    ///< Gets single repeatable requests after a failure.
+  kResting,  ///< Gets none until its rest ends.
+};
+
+/// @brief Names of the states in logs.
+inline constexpr core::EnumNames<ServerTrust, 3> kServerTrustNames{
+    {"trusted", "trial", "resting"}};
+
+/// @brief A change of trust, for logs and metrics.
+struct TrustChange {
+  std::string server;
+  ServerTrust to = ServerTrust::kTrusted;
+  SendEnd cause = SendEnd::kServed;
+};
+
+/// @brief Slots and health of backend servers, from the results of real work.
+/// The dispatcher of a service uses it for the whole fleet; an entry without a
+/// dispatcher uses it for its own requests.
+class ServerPool {
+ public:
+  /// @brief Takes over the registered servers.
+  /// @param registry The registry.
+  /// @param now Current time.
+  void Follow(const ServerRegistry& registry, core::Time now);
+
+  /// @brief Chooses a server and takes one of its slots.
+  /// @param need What the request needs.
+  /// @param holder VM that will send the request.
+  /// @param now Current time.
+  /// @param random Source of random numbers.
+  /// @return The slot, or nothing if no server can take the request in time.
+  std::optional<Slot> Acquire(const SlotNeed& need, core::VmId holder,
+                              core::Time now, core::Random& random);
+
+  /// @brief Gives a slot back with the result.
+  /// @param lease The slot's lease; an unknown one is ignored.
+  /// @param end How the request ended.
+  /// @param load Load that the server reported, if any.
+  /// @param now Current time.
+  void Release(std::uint64_t lease, SendEnd end,
+               const std::optional<ServerLoad>& load, core::Time now);
+
+  /// @brief Releases leases whose holder has not reported in time.
+  /// @param now Current time.
+  void Expire(core::Time now);
+
+  /// @brief Takes the changes of trust since the last call.
+  /// @return The changes, oldest first.
+  [[nodiscard]] std::vector<TrustChange> TakeChanges() {
+    return std::exchange(changes_, {});
+  }
+
+  /// @brief Usual time that a server takes for a route.
+  /// @param route The route.
+  /// @return The moving average, or nothing before the first answer.
+  [[nodiscard]] std::optional<core::Duration> UsualTime(
+      std::string_view route) const;
+
+  /// @brief Requests in flight by this pool's leases.
+  /// @return The count.
+  [[nodiscard]] std::size_t InFlight() const noexcept { return leases_.size(); }
+
+ private:
+  struct Row {
+    std::string id;
+    std::string service;
+    std::string address;
+    std::string failure_domain;
+    int slots = 1;
+    bool draining = false;
+    core::Time warm_at{};
+    int in_flight = 0;
+    int trials = 0;             ///< Repeatable requests in flight on trial.
+    int good_needed = 0;        ///< Successes until the server is trusted.
+    int failures = 0;           ///< In a row.
+    core::Time rest_until{};    ///< End of the pause after a failure.
+    core::Time full_until{};    ///< End of the pause after a refusal.
+    ServerLoad load;            ///< As last reported.
+    core::Time load_at{};
+    core::VmId unreachable_from = core::kNoVm;  ///< Last VM without a path.
+    core::Time unreachable_at{};
+  };
+
+  struct Lease {
+    std::string server;
+    std::string route;
+    core::VmId holder{};
+    core::Time start{};
+    core::Time overdue_at{};  ///< When the request takes unusually long.
+    bool trial = false;
+  };
+
+  /// Order in which candidates are preferred; the lowest wins.
+  struct Preference {
+    int tier = 0;
+    double load = 0.0;
+    bool remote = false;
+    std::uint64_t tie = 0;
+
+    friend auto operator<=>(const Preference&, const Preference&) = default;
+  };
+
+  [[nodiscard]] std::optional<Preference> Rate(const Row& row,
+                                               const SlotNeed& need,
+                                               core::Time now,
+                                               core::Random& random) const;
+  [[nodiscard]] double LoadOf(const Row& row, core::Time now) const;
+  [[nodiscard]] bool HasOverdue(const Row& row, core::Time now) const;
+  [[nodiscard]] double QueueLimit(const Row& row, const SlotNeed& need) const;
+  void Judge(Row& row, const Lease& lease, SendEnd end, core::Time now);
+  void Fail(Row& row, SendEnd cause, core::Duration rest, int good_needed,
+            core::Time now);
+  void Succeed(Row& row);
+  void Learn(const Lease& lease, core::Time now);
+  void Note(const Row& row, ServerTrust to, SendEnd cause);
+  Slot Grant(Row& row, const SlotNeed& need, core::VmId holder, bool trial,
+             core::Time now);
+
+  std::map<std::string, Row, std::less<>> rows_;
+  std::map<std::string, std::vector<std::string>, std::less<>> by_service_;
+  std::map<std::uint64_t, Lease> leases_;
+  std::set<std::pair<std::string, std::uint64_t>> by_server_;
+  std::map<std::string, core::Duration, std::less<>> usual_;
+  std::vector<TrustChange> changes_;
+  std::uint64_t last_lease_ = 0;
+};
+
+}  // namespace bambootack::gateway
+
+#endif  // BAMBOOTACK_GATEWAY_SERVER_POOL_H_
--- /dev/null
+++ b/src/bambootack/gateway/server_registry.h
@@ -0,0 +1,83 @@
+#ifndef BAMBOOTACK_GATEWAY_SERVER_REGISTRY_H_
+#define BAMBOOTACK_GATEWAY_SERVER_REGISTRY_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "bambootack/core/time.h"
+#include "bambootack/gateway/model.h"
+
+namespace bambootack::gateway {
+
+/// @brief A registered server.
+struct Registration {
+  ServerRecord record;
+  core::Time warm_at{};  ///< When its warm-up ends.
+  /// Set while a removal waits: the entry may only have lapsed because the
+  /// store was away.
+  std::optional<core::Time> remove_at;
+};
+
+/// @brief Servers by their own reports, which come through the platform's
+/// store. Reports may be late, repeated or of an earlier start of a server.
+class ServerRegistry {
+ public:
+  /// @brief Takes over a report.
+  /// @param record The report.
+  /// @param now Current time.
+  /// @return True if anything but its sequence number changed.
+  bool Apply(ServerRecord record, core::Time now);
+
+  /// @brief Removes a server whose entry is gone or unreadable.
+  /// @param id The server.
+  /// @param now Current time.
+  /// @return True if the server was usable until now.
+  bool Remove(std::string_view id, core::Time now);
+
+  /// @brief Tells that the store does not answer. Entries that vanish until it
+  /// has answered again for a while are kept.
+  /// @param now Current time.
+  void StoreLost(core::Time now) noexcept;
+
+  /// @brief Tells that the store answers.
+  /// @param now Current time.
+  void StoreFound(core::Time now) noexcept;
+
+  /// @brief Carries out removals that are due.
+  /// @param now Current time.
+  /// @return True if a server was removed.
+  bool Expire(core::Time now);
+
+  /// @brief When `Expire` is due.
+  /// @return The time, or nothing.
+  [[nodiscard]] std::optional<core::Time> NextDue() const noexcept;
+
+  /// @brief All servers by id.
+  /// @return The servers.
+  [[nodiscard]] const std::map<std::string, Registration, std::less<>>&
+  Servers() const noexcept {
+    return servers_;
+  }
+
+ private:
+  /// Newest report of an id, kept after its removal, so that a late report
+  /// of an earlier time does not bring the server back.
+  struct Newest {
+    std::int64_t started = 0;
+    std::int64_t sequence = 0;
+  };
+
+  void DropFormerHolder(const ServerRecord& record);
+
+  std::map<std::string, Registration, std::less<>> servers_;
+  std::map<std::string, Newest, std::less<>> newest_;
+  std::optional<core::Time> hold_until_;
+  bool store_lost_ = false;
+};
+
+}  // namespace bambootack::gateway
+
+#endif  // BAMBOOTACK_GATEWAY_SERVER_REGISTRY_H_
--- /dev/null
+++ b/src/bambootack/gateway/settings.cc
@@ -0,0 +1,51 @@
+#include "bambootack/gateway/settings.h"
+
+#include <boost/leaf/error.hpp>
+#include <utility>
+
+#include "bambootack/core/error_kind.h"
+#include "bambootack/toml/address.h"
+#include "bambootack/toml/reader.h"
+
+namespace bambootack::gateway {
+namespace {
+
+using toml_reader::Address;
+using toml_reader::Reader;
+
+constexpr std::int64_t kMaxStopMs = 3'600'000;
+
+GatewaySettings ReadSettings(Reader& reader) {
+  GatewaySettings result;
+  result.name = reader.String("name");
+  result.failure_domain = reader.String("failure_domain");
+  result.caller_address = Address(reader, "caller_address");
+  result.operator_address = Address(reader, "operator_address");
+  result.metrics_address = Address(reader, "metrics_address");
+  result.peer_address = Address(reader, "peer_address");
+  result.store_address = Address(reader, "store_address");
+  result.platform_bounds = reader.String("platform_bounds", "");
+  result.log_level = reader.Enum("log_level", settings::kLogLevelNames,
+                                 &result.log_level);
+  result.stop_grace =
+      reader.Milliseconds("stop_grace_ms", 0, kMaxStopMs, result.stop_grace);
+  result.stop_limit =
+      reader.Milliseconds("stop_limit_ms", 0, kMaxStopMs, result.stop_limit);
+  return result;
+}
+
+}  // namespace
+
+boost::leaf::result<GatewaySettings> ParseSettings(std::string_view text,
+                                                   std::string_view source) {
+  GatewaySettings result;
+  std::string problem = toml_reader::ReadDocument(
+      text, source, [&](Reader& reader) { result = ReadSettings(reader); });
+  if (!problem.empty()) {
+    return boost::leaf::new_error(
+        core::Error{core::ErrorKind::kSettingsInvalid, std::move(problem)});
+  }
+  return result;
+}
+
+}  // namespace bambootack::gateway
--- /dev/null
+++ b/src/bambootack/gateway/settings.h
@@ -0,0 +1,40 @@
+#ifndef BAMBOOTACK_GATEWAY_SETTINGS_H_
+#define BAMBOOTACK_GATEWAY_SETTINGS_H_
+
+#include <boost/leaf/result.hpp>
+#include <string>
+#include <string_view>
+
+#include "bambootack/core/time.h"
+#include "bambootack/settings/settings.h"
+
+namespace bambootack::gateway {
+
+/// @brief Settings of a gateway daemon.
+struct GatewaySettings {
+  std::string name;  ///< Of the VM, for logs.
+  std::string failure_domain;
+  std::string caller_address;    ///< IP:port for callers.
+  std::string operator_address;  ///< IP:port for readiness and reports.
+  std::string metrics_address;   ///< IP:port for metrics.
+  std::string peer_address;      ///< IP:port for other VMs.
+  std::string store_address;     ///< IP:port of the platform's store.
+  std::string platform_bounds;   ///< Limits in the platform's own form.
+  settings::LogLevel log_level = settings::LogLevel::kInfo;
+  /// Time after the start of a planned stop in which requests still arrive.
+  core::Duration stop_grace = std::chrono::milliseconds(2500);
+  /// End of a planned stop, also with requests in flight.
+  core::Duration stop_limit = std::chrono::milliseconds(5800);
+};
+
+/// @brief Reads settings from TOML text and checks every key.
+/// @param text TOML text.
+/// @param source Name of the file for error messages.
+/// @return The settings, or `core::Error` of kind `kSettingsInvalid` that names
+/// file, line, key and what is allowed.
+[[nodiscard]] boost::leaf::result<GatewaySettings> ParseSettings(
+    std::string_view text, std::string_view source);
+
+}  // namespace bambootack::gateway
+
+#endif  // BAMBOOTACK_GATEWAY_SETTINGS_H_
--- /dev/null
+++ b/src/bambootack/gateway/slot_broker.cc
@@ -0,0 +1,65 @@
+#include "bambootack/gateway/slot_broker.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "bambootack/core/hash.h"
+
+namespace bambootack::gateway {
+namespace {
+
+/// A lost datagram is rare; a VM that is stopped or cut off stays so for
+/// seconds.
+constexpr core::Duration kFirstSuspicion = std::chrono::milliseconds(500);
+constexpr core::Duration kLongestSuspicion = std::chrono::milliseconds(4000);
+
+}  // namespace
+
+bool SlotBroker::Add(membership::Member member) {
+  if (member.vm == self_) {
+    return false;
+  }
+  membership::Member& it = members_[member.vm];
+  const bool changed = it.address != member.address;
+  it = std::move(member);
+  return changed;
+}
+
+core::VmId SlotBroker::Choose(std::string_view service, core::Time now) const {
+  const std::uint64_t object = core::HashBytes(service);
+  core::VmId best = self_;
+  std::uint64_t best_score = core::RendezvousScore(object, self_);
+  for (const auto& [vm, member] : members_) {
+    const std::uint64_t score = core::RendezvousScore(object, vm);
+    const auto suspicion = suspicions_.find(vm);
+    const bool usable =
+        suspicion == suspicions_.end() || suspicion->second.until <= now;
+    if (usable && score > best_score) {
+      best = vm;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+void SlotBroker::Suspect(core::VmId vm, core::Time now) {
+  Suspicion& it = suspicions_[vm];
+  if (now < it.until) {
+    return;
+  }
+  it.length = it.length.count() == 0
+                  ? kFirstSuspicion
+                  : std::min(kLongestSuspicion, it.length * 2);
+  it.until = now + it.length;
+}
+
+std::vector<membership::Member> SlotBroker::Others() const {
+  std::vector<membership::Member> result;
+  result.reserve(members_.size());
+  for (const auto& [vm, member] : members_) {
+    result.push_back(member);
+  }
+  return result;
+}
+
+}  // namespace bambootack::gateway
--- /dev/null
+++ b/src/bambootack/gateway/slot_broker.h
@@ -0,0 +1,70 @@
+#ifndef BAMBOOTACK_GATEWAY_SLOT_BROKER_H_
+#define BAMBOOTACK_GATEWAY_SLOT_BROKER_H_
+
+#include <cstddef>
+#include <map>
+#include <string_view>
+#include <vector>
+
+#include "bambootack/core/ids.h"
+#include "bambootack/core/time.h"
+#include "bambootack/membership/view.h"
+
+namespace bambootack::gateway {
+
+/// @brief Knows the VMs of the fleet and chooses the dispatcher of a service:
+/// the VM that counts its slots and judges its servers. The choice needs no
+/// agreement. Two VMs that choose differently share less knowledge, and break
+/// no promise to a caller.
+class SlotBroker {
+ public:
+  /// @brief Creates a broker.
+  /// @param self This VM.
+  explicit SlotBroker(core::VmId self) : self_(self) {}
+
+  /// @brief Adds a VM or changes its address.
+  /// @param member The VM.
+  /// @return True if it was unknown or its address has changed.
+  bool Add(membership::Member member);
+
+  /// @brief Chooses the dispatcher of a service by rendezvous hash.
+  /// @param service The service.
+  /// @param now Current time.
+  /// @return The VM; this VM while no other is known.
+  [[nodiscard]] core::VmId Choose(std::string_view service,
+                                  core::Time now) const;
+
+  /// @brief Notes that a VM did not answer. It is not chosen for a time that
+  /// grows with each silence.
+  /// @param vm The VM.
+  /// @param now Current time.
+  void Suspect(core::VmId vm, core::Time now);
+
+  /// @brief Notes that a VM has answered.
+  /// @param vm The VM.
+  void Trust(core::VmId vm) { suspicions_.erase(vm); }
+
+  /// @brief The other VMs.
+  /// @return The members.
+  [[nodiscard]] std::vector<membership::Member> Others() const;
+
+  /// @brief Number of VMs known, with this one.
+  /// @return The count.
+  [[nodiscard]] std::size_t Size() const noexcept {
+    return members_.size() + 1;
+  }
+
+ private:
+  struct Suspicion {
+    core::Time until{};
+    core::Duration length{};
+  };
+
+  core::VmId self_;
+  std::map<core::VmId, membership::Member> members_;
+  std::map<core::VmId, Suspicion> suspicions_;
+};
+
+}  // namespace bambootack::gateway
+
+#endif  // BAMBOOTACK_GATEWAY_SLOT_BROKER_H_
--- a/src/bambootack/log/event.h
+++ b/src/bambootack/log/event.h
@@ -38,6 +38,19 @@
   kMembershipEnded = 504,
   kHandOverIncomplete = 505,
   kTokenRejected = 600,
+  kConfigurationInForce = 700,
+  kRequestAdmitted = 701,
+  kRequestSent = 702,
+  kSendEnded = 703,
+  kRequestAnswered = 704,
+  kRequestRefused = 705,
+  kCallerLeft = 706,
+  kServerTrust = 707,
+  kDispatcherSilent = 708,
+  kServerChanged = 709,
+  kRecordUnreadable = 710,
+  kStoreLost = 711,
+  kStoreFound = 712,
 };
 
 /// @brief Catalogue entry of an event.
--- a/src/bambootack/net/http_client.cc
+++ b/src/bambootack/net/http_client.cc
@@ -1,6 +1,9 @@
 #include "bambootack/net/http_client.h"
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <atomic>
@@ -18,17 +21,22 @@
 namespace bambootack::net {
 namespace {
 
-constexpr int kPollMilliseconds = 1000;
+/// Longest sleep without transfers. Commands and timeouts end it.
+constexpr int kPollMilliseconds = 60'000;
 // libcurl reads its integer options as long.
 using CurlLong = long;  // NOLINT(google-runtime-int)
 
-constexpr CurlLong kConnectTimeoutMs = 500;
 constexpr CurlLong kMaxIdleConnections = 512;
 
 /// A connection that was idle for longer is not used again. Servers keep idle
 /// connections for 5 s or more, so a request seldom meets one that is closing.
 constexpr CurlLong kMaxIdleSeconds = 2;
 
+/// A connection that has gone silent is noticed by probes: the first after one
+/// second without data, then two more. Reads may wait much longer.
+constexpr int kProbeSeconds = 1;
+constexpr int kProbes = 2;
+
 constexpr std::size_t kMaxHeaderBytes = 64UL * 1024;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContent = 204;
@@ -73,6 +81,18 @@
   return CURL_PREREQFUNC_OK;
 }
 
+/// Called for each new socket.
+int OnSocket(void* /*user*/, curl_socket_t socket, curlsocktype /*purpose*/) {
+  const int on = 1;
+  setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeSeconds,
+             sizeof(kProbeSeconds));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeSeconds,
+             sizeof(kProbeSeconds));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
+  return CURL_SOCKOPT_OK;
+}
+
 std::size_t OnBody(char* data, std::size_t size, std::size_t count,
                    void* user) {
   auto* transfer = static_cast<Transfer*>(user);
@@ -109,7 +129,7 @@
 /// Tells whether the end of the body is certain. Answers that end with their
 /// connection may be truncated; two lengths, or a length with a transfer
 /// coding, may be read differently.
-bool IsFramed(const core::HttpAnswer& answer, const std::string& method) {
+bool IsFramed(const core::HttpAnswer& answer, const HttpCall& call) {
   std::size_t lengths = 0;
   bool agree = true;
   const auto length = core::FindHeader(answer.headers, "Content-Length");
@@ -124,9 +144,10 @@
       (coding && !boost::algorithm::iequals(*coding, "chunked"))) {
     return false;
   }
-  const bool empty = method == "HEAD" || answer.status == kNoContent ||
+  const bool empty = call.http.method == "HEAD" ||
+                     answer.status == kNoContent ||
                      answer.status == kNotModified;
-  return coding || lengths > 0 || empty;
+  return coding || lengths > 0 || empty || call.accept_unframed;
 }
 
 std::size_t OnHeader(char* data, std::size_t size, std::size_t count,
@@ -153,7 +174,7 @@
     AddHeader(answer, line);
   } else if (answer.status >= kFirstFinalStatus) {
     transfer->headers_done = true;
-    return IsFramed(answer, transfer->call.http.method) ? n : 0;
+    return IsFramed(answer, transfer->call) ? n : 0;
   }
   return n;
 }
@@ -294,7 +315,13 @@
     const auto timeout =
         std::max<std::int64_t>(1, core::ToMilliseconds(call.timeout));
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<CurlLong>(timeout));
-    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeoutMs);
+    curl_easy_setopt(
+        easy, CURLOPT_CONNECTTIMEOUT_MS,
+        static_cast<CurlLong>(core::ToMilliseconds(call.connect_timeout)));
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &OnSocket);
+    const CurlLong fresh = call.fresh_connection ? 1 : 0;
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, fresh);
     if (!call.http.body.empty() || call.http.method == "POST" ||
         call.http.method == "PUT" || call.http.method == "PATCH") {
       curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
--- a/src/bambootack/net/http_client.h
+++ b/src/bambootack/net/http_client.h
@@ -18,6 +18,12 @@
   std::string address;  ///< IP:port
   core::HttpRequest http;
   core::Duration timeout{};
+  core::Duration connect_timeout = std::chrono::milliseconds(500);
+  /// Uses a connection of its own. A request on a kept one may meet its end,
+  /// and then nobody knows whether it ran.
+  bool fresh_connection = false;
+  /// Accepts an answer without a length, which ends with its connection.
+  bool accept_unframed = false;
 };
 
 /// @brief How a call ended.
--- a/src/bambootack/net/http_server.cc
+++ b/src/bambootack/net/http_server.cc
@@ -3,6 +3,7 @@
 #include <condition_variable>
 #include <exception>
 #include <future>
+#include <optional>
 #include <restinio/all.hpp>
 #include <utility>
 #include <vector>
@@ -120,19 +121,30 @@
       : on_request_(std::move(on_request)),
         listener_(
             std::make_shared<ConnectionListener>(pending_, std::move(on_gone))),
-        server_(restinio::own_io_context(), MakeSettings(options)),
-        runner_(options.threads, server_) {
+        server_(options.context != nullptr
+                    ? restinio::external_io_context(*options.context)
+                    : restinio::own_io_context(),
+                MakeSettings(options)) {
+    if (options.context != nullptr) {
+      server_.open_sync();
+      return;
+    }
+    runner_.emplace(options.threads, server_);
     std::promise<void> started;
-    runner_.start([&]() noexcept { started.set_value(); },
-                  [&](std::exception_ptr error) noexcept {
-                    started.set_exception(std::move(error));
-                  });
+    runner_->start([&]() noexcept { started.set_value(); },
+                   [&](std::exception_ptr error) noexcept {
+                     started.set_exception(std::move(error));
+                   });
     started.get_future().get();
   }
 
   ~Impl() {
-    runner_.stop();
-    runner_.wait();
+    if (runner_) {
+      runner_->stop();
+      runner_->wait();
+    } else {
+      server_.close_sync();
+    }
     // Requests hold sockets, which must not outlive the server's context.
     pending_.Clear();
   }
@@ -228,7 +240,7 @@
   std::shared_ptr<UnsentAnswers> unsent_ = std::make_shared<UnsentAnswers>();
   std::shared_ptr<ConnectionListener> listener_;
   Server server_;
-  restinio::on_pool_runner_t<Server> runner_;
+  std::optional<restinio::on_pool_runner_t<Server>> runner_;
 };
 
 HttpServer::HttpServer(HttpServerOptions options, OnRequest on_request,
--- a/src/bambootack/net/http_server.h
+++ b/src/bambootack/net/http_server.h
@@ -11,6 +11,10 @@
 #include "bambootack/core/http_message.h"
 #include "bambootack/core/ids.h"
 
+namespace asio {
+class io_context;
+}  // namespace asio
+
 namespace bambootack::net {
 
 /// @brief Limits and address of an HTTP server.
@@ -22,6 +26,8 @@
   std::uint32_t read_timeout_ms = 15'000;       ///< For a whole request.
   std::uint32_t write_timeout_ms = 15'000;      ///< For a whole answer.
   std::uint32_t answer_timeout_ms = 3'600'000;  ///< For the handler.
+  /// If set, the server runs on this context and starts no thread.
+  asio::io_context* context = nullptr;
 };
 
 /// @brief HTTP/1.1 server (RESTinio). Callbacks run on its traffic threads.
--- a/src/bambootack/settings/settings.cc
+++ b/src/bambootack/settings/settings.cc
@@ -1,17 +1,17 @@
 #include "bambootack/settings/settings.h"
 
 #include <algorithm>
-#include <asio/ip/address.hpp>
 #include <boost/leaf/error.hpp>
-#include <charconv>
 #include <optional>
 
 #include "bambootack/core/error_kind.h"
+#include "bambootack/toml/address.h"
 #include "bambootack/toml/reader.h"
 
 namespace bambootack::settings {
 namespace {
 
+using toml_reader::Address;
 using toml_reader::Reader;
 
 constexpr std::int64_t kMaxVmNumber = 0xFFFFFFFF;
@@ -20,28 +20,6 @@
 constexpr std::int64_t kMaxTrafficThreads = 64;
 constexpr std::int64_t kMaxStopMs = 3'600'000;
 
-bool IsAddress(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return false;
-  }
-  std::error_code ec;
-  asio::ip::make_address(text.substr(0, colon), ec);
-  unsigned port = 0;
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-  return !ec && parsed.ec == std::errc() && parsed.ptr == end && port > 0 &&
-         port <= 65535;
-}
-
-std::string Address(Reader& reader, std::string_view key) {
-  std::string value = reader.String(key);
-  if (!IsAddress(value)) {
-    reader.Fail(key, "must be IP:port with port 1 to 65535");
-  }
-  return value;
-}
-
 std::vector<std::string> PeerKeys(Reader& reader) {
   std::vector<std::string> keys = reader.Strings("peer_keys");
   const bool valid =
--- /dev/null
+++ b/src/gateway/shell.cc
@@ -0,0 +1,311 @@
+#include "gateway/shell.h"
+
+#include <fmt/format.h>
+
+#include <asio.hpp>
+#include <chrono>
+#include <optional>
+#include <random>
+#include <utility>
+
+#include "bambootack/gateway/gateway.h"
+#include "bambootack/net/address.h"
+#include "bambootack/net/http_client.h"
+#include "bambootack/net/http_server.h"
+#include "bambootack/node/answers.h"
+#include "gateway/log_writer.h"
+#include "platform/bounds.h"
+#include "platform/headers.h"
+#include "platform/store_reader.h"
+
+namespace bambootack::gateway_daemon {
+namespace {
+
+/// Servers answer with some kilobytes; the limit protects the memory of a VM.
+constexpr std::size_t kMaxAnswerBytes = 64UL * 1024 * 1024;
+constexpr std::size_t kMaxBodyBytes = 64UL * 1024 * 1024;
+
+/// Connections that callers keep are idle for up to 12 s.
+constexpr std::uint32_t kCallerReadTimeoutMs = 20'000;
+
+/// A round trip takes 2 ms, and a lost packet is sent again after 200 ms or
+/// more; another server is tried before that.
+constexpr auto kConnectTimeout = std::chrono::milliseconds(120);
+
+/// Calls of the store have numbers apart from those of sends.
+constexpr std::uint64_t kFirstStoreCall = 1ULL << 62;
+
+constexpr auto kFlushLimit = std::chrono::milliseconds(200);
+
+/// How long a stopping gateway stays idle before it exits, so that its last
+/// answers leave the sockets.
+constexpr core::Duration kStopLinger = std::chrono::milliseconds(200);
+
+core::Time Now() {
+  return core::Time(std::chrono::duration_cast<core::Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+std::chrono::steady_clock::time_point ToSteady(core::Time time) {
+  return std::chrono::steady_clock::time_point(
+      std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+          time.time_since_epoch()));
+}
+
+/// The address of a VM is its number; it is unique in the fleet.
+core::VmId NumberOf(const std::string& address) {
+  const net::Endpoint endpoint = net::SplitAddress(address);
+  return core::VmId{asio::ip::make_address_v4(endpoint.ip).to_uint()};
+}
+
+gateway::GatewayOptions OptionsOf(const gateway::GatewaySettings& settings) {
+  const platform::FleetBounds bounds =
+      platform::ParseBounds(settings.platform_bounds);
+  gateway::GatewayOptions options;
+  options.vm = NumberOf(settings.peer_address);
+  options.failure_domain = settings.failure_domain;
+  options.dialect = platform::Headers();
+  options.repeat_share = bounds.repeat_share;
+  options.repeat_burst = bounds.repeat_slack;
+  return options;
+}
+
+}  // namespace
+
+class Shell::Impl {
+ public:
+  explicit Impl(gateway::GatewaySettings settings)
+      : settings_(std::move(settings)),
+        random_(std::random_device{}()),
+        log_(settings_.log_level, settings_.name),
+        gateway_(OptionsOf(settings_), std::random_device{}()),
+        store_(gateway_,
+               [this](log::EventId id, std::string detail) {
+                 log_.Add({id, std::move(detail)}, Now());
+               }),
+        timer_(control_),
+        signals_(control_, SIGTERM, SIGINT, SIGHUP),
+        client_(kMaxAnswerBytes),
+        operators_({.address = settings_.operator_address,
+                    .context = &control_},
+                   [this](core::CallerId caller, core::HttpRequest http) {
+                     Report(operators_, caller, http);
+                   },
+                   {}),
+        callers_({.address = settings_.caller_address,
+                  .max_body_bytes = kMaxBodyBytes,
+                  .read_timeout_ms = kCallerReadTimeoutMs,
+                  .context = &control_},
+                 [this](core::CallerId caller, core::HttpRequest http) {
+                   asio::post(control_, [this, caller,
+                                         http = std::move(http)]() mutable {
+                     gateway_.Accept(caller, std::move(http), Now());
+                     Settle();
+                   });
+                 },
+                 [this](core::CallerId caller) {
+                   asio::post(control_, [this, caller] {
+                     gateway_.Drop(caller, Now());
+                     Settle();
+                   });
+                 }) {}
+
+  int Run() {
+    log_.Add({log::EventId::kStarted,
+              fmt::format("callers={} operators={} peers={} store={}",
+                          settings_.caller_address, settings_.operator_address,
+                          settings_.peer_address, settings_.store_address)},
+             Now());
+    store_.Begin(Now(), random_);
+    WaitForSignal();
+    Settle();
+    control_.run();
+    log_.Flush();
+    return exit_code_;
+  }
+
+ private:
+  void WaitForSignal() {
+    signals_.async_wait([this](std::error_code ec, int signal) {
+      if (ec) {
+        return;
+      }
+      if (signal != SIGHUP) {
+        BeginStop();
+      }
+      WaitForSignal();
+      Settle();
+    });
+  }
+
+  void BeginStop() {
+    if (stop_at_) {
+      return;
+    }
+    log_.Add({log::EventId::kStopping,
+              fmt::format("in_flight={}", gateway_.InFlight())},
+             Now());
+    gateway_.Stop();
+    stop_at_ = Now() + settings_.stop_grace;
+    stop_by_ = Now() + settings_.stop_limit;
+  }
+
+  /// Carries out what the last events led to, and sets the timer.
+  void Settle() {
+    const core::Time now = Now();
+    gateway_.Tick(now);
+    for (platform::StoreReader::Call& it : store_.Next(now)) {
+      CallStore(it.topic, std::move(it.call));
+    }
+    for (gateway::GatewayAction& it : gateway_.TakeActions()) {
+      std::visit([&](auto& action) { Do(std::move(action), now); }, it);
+    }
+    if (!announced_ready_ && gateway_.IsReady()) {
+      announced_ready_ = true;
+      log_.Add({log::EventId::kReady,
+                fmt::format("version={} servers={}",
+                            gateway_.Routes().Version(),
+                            gateway_.Registry().Servers().size())},
+               now);
+    }
+    log_.Flush();
+    EndStopWhenIdle(now);
+    SetTimer(now);
+  }
+
+  void EndStopWhenIdle(core::Time now) {
+    if (!stop_at_) {
+      return;
+    }
+    if (gateway_.InFlight() > 0) {
+      stop_at_ = std::max(*stop_at_, now + kStopLinger);
+    }
+    if (now < *stop_at_ && now < stop_by_) {
+      return;
+    }
+    const bool cut = gateway_.InFlight() > 0;
+    exit_code_ = cut ? 1 : 0;
+    log_.Add({cut ? log::EventId::kStopCut : log::EventId::kStopped,
+              fmt::format("in_flight={}", gateway_.InFlight())},
+             now);
+    callers_.Flush(kFlushLimit);
+    control_.stop();
+  }
+
+  void SetTimer(core::Time now) {
+    std::optional<core::Time> due = gateway_.NextDue();
+    const auto earlier = [&](std::optional<core::Time> other) {
+      if (other && (!due || *other < *due)) {
+        due = other;
+      }
+    };
+    earlier(store_.NextDue());
+    if (stop_at_) {
+      earlier(std::min(*stop_at_, stop_by_));
+    }
+    if (!due) {
+      timer_.cancel();
+      return;
+    }
+    timer_.expires_at(ToSteady(std::max(*due, now)));
+    timer_.async_wait([this](std::error_code ec) {
+      if (!ec) {
+        Settle();
+      }
+    });
+  }
+
+  void CallStore(platform::Topic topic, platform::StoreCall call) {
+    net::HttpCall http;
+    http.address = settings_.store_address;
+    http.http = std::move(call.http);
+    http.timeout = call.timeout;
+    client_.Start(
+        ++last_store_call_, std::move(http),
+        [this, topic](net::HttpCallResult result) {
+          asio::post(control_, [this, topic,
+                                result = std::move(result)]() mutable {
+            std::optional<core::HttpAnswer> answer;
+            if (result.end == node::AttemptEnd::kAnswered) {
+              answer = std::move(result.answer);
+            }
+            store_.Take(topic, answer, Now(), random_);
+            Settle();
+          });
+        });
+  }
+
+  void Do(node::AnswerCaller action, core::Time /*now*/) {
+    callers_.Answer(action.caller, std::move(action.http));
+  }
+
+  void Do(gateway::StartSend action, core::Time /*now*/) {
+    const std::uint64_t send = action.send;
+    net::HttpCall call;
+    call.address = std::move(action.address);
+    call.http = std::move(action.http);
+    call.timeout = action.timeout;
+    call.connect_timeout = kConnectTimeout;
+    call.fresh_connection = true;
+    call.accept_unframed = true;
+    client_.Start(send, std::move(call),
+                  [this, send](net::HttpCallResult result) {
+                    asio::post(control_, [this, send,
+                                          result = std::move(result)]() mutable {
+                      gateway_.Finish(send, result.end,
+                                      std::move(result.answer), Now());
+                      Settle();
+                    });
+                  });
+  }
+
+  void Do(const gateway::CancelSend& action, core::Time /*now*/) {
+    client_.Cancel(action.send);
+  }
+
+  void Do(const gateway::TellPeer& /*action*/, core::Time /*now*/) {}
+
+  void Do(const node::WriteLog& action, core::Time now) {
+    log_.Add(action.record, now);
+  }
+
+  void Report(net::HttpServer& server, core::CallerId caller,
+              const core::HttpRequest& http) {
+    const std::string_view path = core::PathOf(http.target);
+    if (path == "/ready") {
+      server.Answer(caller, gateway_.IsReady()
+                                ? node::TextAnswer(200, "ready\n")
+                                : node::OperatorError(
+                                      core::ErrorKind::kNotReady, ""));
+    } else {
+      server.Answer(caller, node::OperatorError(
+                                core::ErrorKind::kUnknownCommand, path));
+    }
+  }
+
+  gateway::GatewaySettings settings_;
+  core::Random random_;
+  asio::io_context control_;
+  LogWriter log_;
+  gateway::Gateway gateway_;
+  platform::StoreReader store_;
+  asio::steady_timer timer_;
+  asio::signal_set signals_;
+  std::optional<core::Time> stop_at_;
+  core::Time stop_by_{};
+  int exit_code_ = 0;
+  bool announced_ready_ = false;
+  std::uint64_t last_store_call_ = kFirstStoreCall;
+  net::HttpClient client_;
+  net::HttpServer operators_;
+  net::HttpServer callers_;
+};
+
+Shell::Shell(gateway::GatewaySettings settings)
+    : impl_(std::make_unique<Impl>(std::move(settings))) {}
+
+Shell::~Shell() = default;
+
+int Shell::Run() { return impl_->Run(); }
+
+}  // namespace bambootack::gateway_daemon
