--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -32,6 +32,7 @@
 /// @brief What a gateway needs to know of its VM and platform.
 struct GatewayOptions {
   core::VmId vm{};
+  std::string peer_address;  ///< IP:port for messages of other VMs.
   std::string failure_domain;
   Dialect dialect;
   double repeat_share = 0.1;  ///< Second sends for each first one.
@@ -57,9 +58,14 @@
   PeerMessage message;
 };
 
+/// @brief Addresses of the other VMs have changed.
+struct SetMembers {
+  std::vector<membership::Member> members;
+};
+
 /// @brief Everything that a gateway asks its shell to do.
 using GatewayAction = std::variant<node::AnswerCaller, StartSend, CancelSend,
-                                   TellPeer, node::WriteLog>;
+                                   TellPeer, SetMembers, node::WriteLog>;
 
 /// @brief Serves requests without idempotency keys: each reaches one entry, and
 /// that entry alone decides whether it is sent again. The dispatcher of the
@@ -119,7 +125,7 @@
   [[nodiscard]] std::optional<core::Time> NextDue() const;
 
   /// @brief Begins a planned stop: answers ask callers to reconnect.
-  void Stop() noexcept { stopping_ = true; }
+  void Stop();
 
   /// @brief Tells whether the VM should get new connections.
   /// @return True if it is configured, knows servers and is not stopping.
@@ -128,9 +134,9 @@
            !registry_.Servers().empty();
   }
 
-  /// @brief The VMs of the fleet.
-  /// @return The broker.
-  [[nodiscard]] SlotBroker& Broker() noexcept { return broker_; }
+  /// @brief Takes over a VM of the fleet and introduces this one to it.
+  /// @param member The VM.
+  void Meet(membership::Member member);
 
   /// @brief Requests that wait for their answers.
   /// @return The count.
--- a/src/bambootack/gateway/gateway_sends.cc
+++ b/src/bambootack/gateway/gateway_sends.cc
@@ -317,10 +317,31 @@
 
 void Gateway::On(core::VmId from, MemberNotice& message, core::Time now) {
   if (message.leaving) {
-    broker_.Suspect(from, now);
-  } else {
-    broker_.Trust(from);
-    broker_.Add({from, {}, message.address, message.failure_domain});
+    broker_.Leave(from, now);
+    return;
+  }
+  broker_.Welcome(from);
+  if (broker_.Add({from, {}, message.address, message.failure_domain})) {
+    actions_.emplace_back(SetMembers{broker_.Others()});
+  }
+}
+
+void Gateway::Meet(membership::Member member) {
+  const core::VmId vm = member.vm;
+  if (broker_.Add(std::move(member))) {
+    actions_.emplace_back(SetMembers{broker_.Others()});
+    actions_.emplace_back(TellPeer{
+        vm, MemberNotice{options_.peer_address, options_.failure_domain,
+                         false}});
+  }
+}
+
+void Gateway::Stop() {
+  stopping_ = true;
+  for (const membership::Member& it : broker_.Others()) {
+    actions_.emplace_back(TellPeer{
+        it.vm, MemberNotice{options_.peer_address, options_.failure_domain,
+                            true}});
   }
 }
 
--- a/src/bambootack/gateway/slot_broker.cc
+++ b/src/bambootack/gateway/slot_broker.cc
@@ -13,6 +13,10 @@
 constexpr core::Duration kFirstSuspicion = std::chrono::milliseconds(500);
 constexpr core::Duration kLongestSuspicion = std::chrono::milliseconds(4000);
 
+/// A stopping VM serves for some seconds, then ends; a new process introduces
+/// itself.
+constexpr core::Duration kLeavingTime = std::chrono::seconds(10);
+
 }  // namespace
 
 bool SlotBroker::Add(membership::Member member) {
@@ -53,6 +57,17 @@
   it.until = now + it.length;
 }
 
+void SlotBroker::Leave(core::VmId vm, core::Time now) {
+  suspicions_[vm] = {now + kLeavingTime, kFirstSuspicion, true};
+}
+
+void SlotBroker::Trust(core::VmId vm) {
+  const auto it = suspicions_.find(vm);
+  if (it != suspicions_.end() && !it->second.leaving) {
+    suspicions_.erase(it);
+  }
+}
+
 std::vector<membership::Member> SlotBroker::Others() const {
   std::vector<membership::Member> result;
   result.reserve(members_.size());
--- a/src/bambootack/gateway/slot_broker.h
+++ b/src/bambootack/gateway/slot_broker.h
@@ -40,9 +40,19 @@
   /// @param now Current time.
   void Suspect(core::VmId vm, core::Time now);
 
-  /// @brief Notes that a VM has answered.
+  /// @brief Notes that a VM is about to stop. It is not chosen for some time.
   /// @param vm The VM.
-  void Trust(core::VmId vm) { suspicions_.erase(vm); }
+  /// @param now Current time.
+  void Leave(core::VmId vm, core::Time now);
+
+  /// @brief Notes that a VM has answered. One that is about to stop is still
+  /// not chosen.
+  /// @param vm The VM.
+  void Trust(core::VmId vm);
+
+  /// @brief Notes that a process has started on a VM.
+  /// @param vm The VM.
+  void Welcome(core::VmId vm) { suspicions_.erase(vm); }
 
   /// @brief The other VMs.
   /// @return The members.
@@ -58,6 +68,7 @@
   struct Suspicion {
     core::Time until{};
     core::Duration length{};
+    bool leaving = false;
   };
 
   core::VmId self_;
--- a/src/daemon/peer_security.cc
+++ b/src/daemon/peer_security.cc
@@ -51,9 +51,9 @@
 
 }  // namespace
 
-PeerSecurity::PeerSecurity(const settings::Settings& settings,
+PeerSecurity::PeerSecurity(core::VmId vm, const std::vector<std::string>& keys,
                            core::Incarnation incarnation)
-    : guard_({settings.vm, incarnation, DrawSession()}, settings.peer_keys) {}
+    : guard_({vm, incarnation, DrawSession()}, keys) {}
 
 std::string PeerSecurity::Hello() {
   const std::scoped_lock lock(mutex_);
@@ -74,7 +74,7 @@
   return guard_.Seal(vm, bytes, DrawNonce());
 }
 
-PeerSecurity::Received PeerSecurity::Open(std::string_view frame) {
+PeerSecurity::Frame PeerSecurity::OpenFrame(std::string_view frame) {
   wire::FrameGuard::Opened opened;
   {
     const std::scoped_lock lock(mutex_);
@@ -85,11 +85,19 @@
         refused->fault, refused->sender,
         std::string(wire::kFrameFaultNames.Name(refused->fault)), false};
   }
-  const auto& it = std::get<wire::OpenedFrame>(opened);
+  auto& it = std::get<wire::OpenedFrame>(opened);
   if (it.kind == wire::FrameKind::kHello) {
     return FrameRejection{std::nullopt, it.sender, "hello", true};
   }
-  return DecodeFrom(it);
+  return std::move(it);
+}
+
+PeerSecurity::Received PeerSecurity::Open(std::string_view frame) {
+  Frame opened = OpenFrame(frame);
+  if (auto* rejection = std::get_if<FrameRejection>(&opened)) {
+    return std::move(*rejection);
+  }
+  return DecodeFrom(std::get<wire::OpenedFrame>(opened));
 }
 
 }  // namespace bambootack::daemon
--- a/src/daemon/peer_security.h
+++ b/src/daemon/peer_security.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
-#include "bambootack/settings/settings.h"
 #include "bambootack/wire/messages.h"
 #include "bambootack/wire/sealed_frame.h"
 
@@ -26,11 +26,13 @@
 class PeerSecurity {
  public:
   using Received = std::variant<wire::Envelope, FrameRejection>;
+  using Frame = std::variant<wire::OpenedFrame, FrameRejection>;
 
   /// @brief Draws the session of this process.
-  /// @param settings Settings with the VM and its keys.
+  /// @param vm This VM.
+  /// @param keys Hex keys of the fleet, the first one seals.
   /// @param incarnation Start number of the process.
-  PeerSecurity(const settings::Settings& settings,
+  PeerSecurity(core::VmId vm, const std::vector<std::string>& keys,
                core::Incarnation incarnation);
 
   /// @brief Frame that enables its receiver to send to this process.
@@ -50,6 +52,11 @@
   [[nodiscard]] std::optional<std::string> Seal(core::VmId vm,
                                                 std::string_view bytes);
 
+  /// @brief Opens a frame.
+  /// @param frame Bytes received.
+  /// @return The message's bytes, or why the frame was rejected.
+  [[nodiscard]] Frame OpenFrame(std::string_view frame);
+
   /// @brief Opens and decodes a frame.
   /// @param frame Bytes received.
   /// @return The message, or why it was rejected.
--- a/src/daemon/shell.cc
+++ b/src/daemon/shell.cc
@@ -70,7 +70,7 @@
       : settings_(settings),
         incarnation_(NewIncarnation()),
         node_(settings, incarnation_, std::random_device{}()),
-        security_(settings, incarnation_),
+        security_(settings.vm, settings.peer_keys, incarnation_),
         timer_(control_),
         signals_(control_, SIGTERM, SIGINT),
         client_(kMaxAnswerBytes),
--- /dev/null
+++ b/src/gateway/peers.cc
@@ -0,0 +1,109 @@
+#include "gateway/peers.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <optional>
+#include <utility>
+#include <variant>
+
+#include "bambootack/core/error_kind.h"
+#include "bambootack/gateway/codec.h"
+#include "bambootack/net/peer_transport.h"
+#include "daemon/peer_security.h"
+
+namespace bambootack::gateway_daemon {
+namespace {
+
+/// Messages that fit into a datagram with the overhead of its seal.
+constexpr std::size_t kMaxDatagramMessage = 1800;
+
+}  // namespace
+
+class Peers::Impl {
+ public:
+  Impl(PeerIdentity identity, OnMessage on_message)
+      : on_message_(std::move(on_message)),
+        security_(identity.vm, {identity.key}, identity.incarnation),
+        transport_(identity.address, Hooks()) {}
+
+  void SetMembers(std::vector<membership::Member> members) {
+    transport_.SetPeers(std::move(members));
+  }
+
+  void Tell(core::VmId vm, const gateway::PeerMessage& message) {
+    std::string bytes = gateway::Encode(message);
+    if (bytes.size() <= kMaxDatagramMessage) {
+      transport_.SendDatagram(vm, std::move(bytes));
+    } else {
+      transport_.Send(vm, std::move(bytes));
+    }
+  }
+
+ private:
+  net::PeerCallbacks Hooks() {
+    net::PeerCallbacks hooks;
+    hooks.hello = [this] { return security_.Hello(); };
+    hooks.accept_hello = [this](core::VmId vm, std::string_view frame) {
+      return security_.AcceptHello(vm, frame);
+    };
+    hooks.seal = [this](core::VmId vm, std::string_view bytes) {
+      return security_.Seal(vm, bytes);
+    };
+    hooks.on_frame = [this](const std::string& frame) {
+      return Open(frame) == core::kNoVm;
+    };
+    hooks.on_datagram = [this](const std::string& frame) {
+      return Open(frame);
+    };
+    // A lost message costs its sender a wait, after which it goes on alone.
+    hooks.on_lost = [](core::VmId) {};
+    return hooks;
+  }
+
+  /// Returns a VM that needs a hello, if any.
+  core::VmId Open(std::string_view frame) {
+    daemon::PeerSecurity::Frame opened = security_.OpenFrame(frame);
+    if (const auto* it = std::get_if<wire::OpenedFrame>(&opened)) {
+      Decode(*it);
+      return core::kNoVm;
+    }
+    const auto& rejection = std::get<daemon::FrameRejection>(opened);
+    return rejection.hello ||
+                   rejection.fault == wire::FrameFault::kWrongSession
+               ? rejection.sender
+               : core::kNoVm;
+  }
+
+  /// A message that cannot be decoded, as a newer version may send, is dropped.
+  void Decode(const wire::OpenedFrame& frame) {
+    namespace leaf = boost::leaf;
+    auto message = leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<gateway::PeerMessage>> {
+          BOOST_LEAF_AUTO(decoded, gateway::Decode(frame.message));
+          return std::optional(std::move(decoded));
+        },
+        [] { return std::optional<gateway::PeerMessage>(); });
+    if (message) {
+      on_message_(frame.sender, *std::move(message));
+    }
+  }
+
+  OnMessage on_message_;
+  daemon::PeerSecurity security_;
+  net::PeerTransport transport_;
+};
+
+Peers::Peers(PeerIdentity identity, OnMessage on_message)
+    : impl_(std::make_unique<Impl>(std::move(identity),
+                                   std::move(on_message))) {}
+
+Peers::~Peers() = default;
+
+void Peers::SetMembers(std::vector<membership::Member> members) {
+  impl_->SetMembers(std::move(members));
+}
+
+void Peers::Tell(core::VmId vm, const gateway::PeerMessage& message) {
+  impl_->Tell(vm, message);
+}
+
+}  // namespace bambootack::gateway_daemon
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -1,7 +1,9 @@
 #include "gateway/shell.h"
 
 #include <fmt/format.h>
+#include <sodium.h>
 
+#include <array>
 #include <asio.hpp>
 #include <chrono>
 #include <optional>
@@ -14,7 +16,9 @@
 #include "bambootack/net/http_server.h"
 #include "bambootack/node/answers.h"
 #include "gateway/log_writer.h"
+#include "gateway/peers.h"
 #include "platform/bounds.h"
+#include "platform/fleet_join.h"
 #include "platform/headers.h"
 #include "platform/store_reader.h"
 
@@ -32,6 +36,9 @@
 /// more; another server is tried before that.
 constexpr auto kConnectTimeout = std::chrono::milliseconds(120);
 
+/// VMs that start together join the fleet within this time.
+constexpr core::Duration kJoinSpread = std::chrono::milliseconds(800);
+
 /// Calls of the store have numbers apart from those of sends.
 constexpr std::uint64_t kFirstStoreCall = 1ULL << 62;
 
@@ -58,11 +65,26 @@
   return core::VmId{asio::ip::make_address_v4(endpoint.ip).to_uint()};
 }
 
+/// Draws a key of 64 hex digits.
+std::string DrawKey() {
+  if (sodium_init() < 0) {
+    throw std::runtime_error("libsodium cannot be initialized");
+  }
+  std::array<unsigned char, 32> bytes{};
+  randombytes_buf(bytes.data(), bytes.size());
+  std::string key;
+  for (const unsigned char it : bytes) {
+    key += fmt::format("{:02x}", it);
+  }
+  return key;
+}
+
 gateway::GatewayOptions OptionsOf(const gateway::GatewaySettings& settings) {
   const platform::FleetBounds bounds =
       platform::ParseBounds(settings.platform_bounds);
   gateway::GatewayOptions options;
   options.vm = NumberOf(settings.peer_address);
+  options.peer_address = settings.peer_address;
   options.failure_domain = settings.failure_domain;
   options.dialect = platform::Headers();
   options.repeat_share = bounds.repeat_share;
@@ -83,6 +105,7 @@
                [this](log::EventId id, std::string detail) {
                  log_.Add({id, std::move(detail)}, Now());
                }),
+        join_({settings_.peer_address, settings_.failure_domain}, &DrawKey),
         timer_(control_),
         signals_(control_, SIGTERM, SIGINT, SIGHUP),
         client_(kMaxAnswerBytes),
@@ -117,6 +140,8 @@
                           settings_.peer_address, settings_.store_address)},
              Now());
     store_.Begin(Now(), random_);
+    const auto spread = static_cast<std::uint64_t>(kJoinSpread.count());
+    join_.Postpone(Now() + core::Duration(random_.Below(spread)));
     WaitForSignal();
     Settle();
     control_.run();
@@ -155,7 +180,16 @@
     const core::Time now = Now();
     gateway_.Tick(now);
     for (platform::StoreReader::Call& it : store_.Next(now)) {
-      CallStore(it.topic, std::move(it.call));
+      CallStore(std::move(it.call), [this, topic = it.topic](
+                                        const StoreAnswer& answer) {
+        store_.Take(topic, answer, Now(), random_);
+      });
+    }
+    if (auto call = join_.Next(now)) {
+      CallStore(*std::move(call), [this](const StoreAnswer& answer) {
+        join_.Take(answer, Now(), random_);
+        FollowJoin();
+      });
     }
     for (gateway::GatewayAction& it : gateway_.TakeActions()) {
       std::visit([&](auto& action) { Do(std::move(action), now); }, it);
@@ -200,6 +234,7 @@
       }
     };
     earlier(store_.NextDue());
+    earlier(join_.NextDue());
     if (stop_at_) {
       earlier(std::min(*stop_at_, stop_by_));
     }
@@ -215,26 +250,49 @@
     });
   }
 
-  void CallStore(platform::Topic topic, platform::StoreCall call) {
+  using StoreAnswer = std::optional<core::HttpAnswer>;
+
+  template <typename F>
+  void CallStore(platform::StoreCall call, F on_answer) {
     net::HttpCall http;
     http.address = settings_.store_address;
     http.http = std::move(call.http);
     http.timeout = call.timeout;
     client_.Start(
         ++last_store_call_, std::move(http),
-        [this, topic](net::HttpCallResult result) {
-          asio::post(control_, [this, topic,
+        [this, on_answer](net::HttpCallResult result) {
+          asio::post(control_, [this, on_answer,
                                 result = std::move(result)]() mutable {
-            std::optional<core::HttpAnswer> answer;
+            StoreAnswer answer;
             if (result.end == node::AttemptEnd::kAnswered) {
               answer = std::move(result.answer);
             }
-            store_.Take(topic, answer, Now(), random_);
+            on_answer(answer);
             Settle();
           });
         });
   }
 
+  /// Begins to exchange messages once the key is known, and adds the VMs found.
+  void FollowJoin() {
+    if (!peers_ && join_.StartNumber()) {
+      peers_.emplace(
+          PeerIdentity{NumberOf(settings_.peer_address),
+                       settings_.peer_address, join_.Key(),
+                       core::Incarnation{*join_.StartNumber() + 1}},
+          [this](core::VmId from, gateway::PeerMessage message) {
+            asio::post(control_, [this, from,
+                                  message = std::move(message)]() mutable {
+              gateway_.Receive(from, std::move(message), Now());
+              Settle();
+            });
+          });
+    }
+    for (const auto& [address, it] : join_.Members()) {
+      gateway_.Meet({NumberOf(address), {}, address, it.failure_domain});
+    }
+  }
+
   void Do(node::AnswerCaller action, core::Time /*now*/) {
     callers_.Answer(action.caller, std::move(action.http));
   }
@@ -263,7 +321,17 @@
     client_.Cancel(action.send);
   }
 
-  void Do(const gateway::TellPeer& /*action*/, core::Time /*now*/) {}
+  void Do(const gateway::TellPeer& action, core::Time /*now*/) {
+    if (peers_) {
+      peers_->Tell(action.vm, action.message);
+    }
+  }
+
+  void Do(gateway::SetMembers action, core::Time /*now*/) {
+    if (peers_) {
+      peers_->SetMembers(std::move(action.members));
+    }
+  }
 
   void Do(const node::WriteLog& action, core::Time now) {
     log_.Add(action.record, now);
@@ -289,6 +357,7 @@
   LogWriter log_;
   gateway::Gateway gateway_;
   platform::StoreReader store_;
+  platform::FleetJoin join_;
   asio::steady_timer timer_;
   asio::signal_set signals_;
   std::optional<core::Time> stop_at_;
@@ -297,6 +366,7 @@
   bool announced_ready_ = false;
   std::uint64_t last_store_call_ = kFirstStoreCall;
   net::HttpClient client_;
+  std::optional<Peers> peers_;
   net::HttpServer operators_;
   net::HttpServer callers_;
 };
