--- a/src/bambootack/gateway/codec.cc
+++ b/src/bambootack/gateway/codec.cc
@@ -75,8 +75,40 @@
 }
 
 template <typename A>
-void serialize(A& ar, TopicUpdate& it) {
-  ar(it.topic, it.from, it.end, it.records);
+void serialize(A& ar, ServerRecord& it) {
+  ar(it.id, it.service, it.address, it.failure_domain, it.slots, it.draining,
+     it.warmup_left, it.started, it.sequence);
+}
+
+template <typename A>
+void serialize(A& ar, ServerChange& it) {
+  ar(it.record, it.gone);
+}
+
+template <typename A>
+void serialize(A& ar, RoutePart& it) {
+  ar(it.service, it.weight);
+}
+
+template <typename A>
+void serialize(A& ar, GatewayRoute& it) {
+  ar(it.id, it.host, it.path_prefix, it.repeatable, it.timeout, it.target,
+     it.priority, it.max_attempts, it.parts);
+}
+
+template <typename A>
+void serialize(A& ar, GatewayConfig& it) {
+  ar(it.version, it.routes, it.services);
+}
+
+template <typename A>
+void serialize(A& ar, StateUpdate& it) {
+  ar(it.from, it.position, it.age, it.servers, it.config_version, it.config);
+}
+
+template <typename A>
+void serialize(A& ar, StateAsk& it) {
+  ar(it.position, it.config_version);
 }
 
 std::string Encode(const PeerMessage& message) {
--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -20,7 +20,10 @@
 }  // namespace
 
 Gateway::Gateway(GatewayOptions options, std::uint64_t seed)
-    : options_(std::move(options)), random_(seed), broker_(options_.vm) {}
+    : options_(std::move(options)),
+      random_(seed),
+      broker_(options_.vm),
+      spread_(options_.vm, options_.failure_domain, registry_, broker_) {}
 
 void Gateway::Configure(GatewayConfig config, core::Time now) {
   if (config.version <= routes_->Version()) {
@@ -30,9 +33,17 @@
       fmt::format("version={} before={} routes={}", config.version,
                   routes_->Version(), config.routes.size()));
   routes_ = std::make_shared<const RouteTable>(std::move(config));
+  spread_.NoteConfig(routes_->Config(), now);
   pool_.Follow(registry_, now);
 }
 
+std::vector<GatewayAction> Gateway::TakeActions() {
+  for (auto& [vm, message] : spread_.TakeMessages()) {
+    actions_.emplace_back(TellPeer{vm, std::move(message)});
+  }
+  return std::exchange(actions_, {});
+}
+
 std::optional<core::ErrorKind> Gateway::Route(Request& request) const {
   if (routes_->Version() == 0) {
     return core::ErrorKind::kNotReady;
@@ -124,6 +135,7 @@
       SetDue(handle, request);
     }
   }
+  spread_.Tick(now, random_);
   pool_.Expire(now);
   if (registry_.Expire(now)) {
     pool_.Follow(registry_, now);
@@ -132,7 +144,10 @@
 }
 
 std::optional<core::Time> Gateway::NextDue() const {
-  std::optional<core::Time> due = registry_.NextDue();
+  std::optional<core::Time> due = spread_.NextDue();
+  if (const auto removal = registry_.NextDue(); removal && *removal < *due) {
+    due = removal;
+  }
   if (!by_due_.empty() && (!due || by_due_.begin()->first < *due)) {
     due = by_due_.begin()->first;
   }
--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -23,6 +23,7 @@
 #include "bambootack/gateway/server_pool.h"
 #include "bambootack/gateway/server_registry.h"
 #include "bambootack/gateway/slot_broker.h"
+#include "bambootack/gateway/state_spread.h"
 #include "bambootack/log/event.h"
 #include "bambootack/node/actions.h"
 #include "bambootack/node/events.h"
@@ -87,6 +88,10 @@
   /// @return The registry.
   [[nodiscard]] ServerRegistry& Registry() noexcept { return registry_; }
 
+  /// @brief Decides which VM reads the platform's store.
+  /// @return The spread.
+  [[nodiscard]] StateSpread& Spread() noexcept { return spread_; }
+
   /// @brief Takes over changes of the registry.
   /// @param now Current time.
   void FollowRegistry(core::Time now) { pool_.Follow(registry_, now); }
@@ -128,7 +133,7 @@
   void Stop();
 
   /// @brief Tells whether the VM should get new connections.
-  /// @return True if it is configured, knows servers and is not stopping.
+  /// @return True if it is configured, knows servers and does not stop.
   [[nodiscard]] bool IsReady() const noexcept {
     return !stopping_ && routes_->Version() > 0 &&
            !registry_.Servers().empty();
@@ -150,9 +155,7 @@
 
   /// @brief Takes the actions since the last call.
   /// @return The actions, in order.
-  [[nodiscard]] std::vector<GatewayAction> TakeActions() {
-    return std::exchange(actions_, {});
-  }
+  [[nodiscard]] std::vector<GatewayAction> TakeActions();
 
  private:
   struct Send {
@@ -186,12 +189,14 @@
   void On(core::VmId from, SlotReply& message, core::Time now);
   void On(core::VmId from, SlotRelease& message, core::Time now);
   void On(core::VmId from, MemberNotice& message, core::Time now);
-  void On(core::VmId from, TopicUpdate& message, core::Time now);
+  void On(core::VmId from, StateUpdate& message, core::Time now);
+  void On(core::VmId from, StateAsk& message, core::Time now);
 
   [[nodiscard]] std::optional<core::ErrorKind> Route(Request& request) const;
   [[nodiscard]] SlotNeed NeedOf(const Request& request, core::Time now) const;
   void AskForSlot(core::Handle handle, core::Time now);
   void ChooseAlone(core::Handle handle, core::Time now);
+  [[nodiscard]] bool IsUsable(const Slot& slot) const;
   void UseSlot(core::Handle handle, std::optional<Slot> slot,
                core::VmId granter, core::Time now);
   void StartOn(core::Handle handle, Slot slot, core::VmId granter,
@@ -225,6 +230,7 @@
   ServerRegistry registry_;
   ServerPool pool_;
   SlotBroker broker_;
+  StateSpread spread_;
   core::Table<Request> requests_;
   std::unordered_map<core::CallerId, core::Handle> by_caller_;
   std::unordered_map<std::uint64_t, core::Handle> by_send_;
--- a/src/bambootack/gateway/gateway_sends.cc
+++ b/src/bambootack/gateway/gateway_sends.cc
@@ -111,6 +111,12 @@
   return true;
 }
 
+/// The dispatcher may not know yet that a server leaves, or not hear it.
+bool Gateway::IsUsable(const Slot& slot) const {
+  const auto it = registry_.Servers().find(slot.server);
+  return it != registry_.Servers().end() && !it->second.record.draining;
+}
+
 /// Starts the send, or ends the request if there is no slot. A request whose
 /// first send is still in flight waits for that one.
 void Gateway::UseSlot(core::Handle handle, std::optional<Slot> slot,
@@ -303,7 +309,10 @@
   Request* request = requests_.Find(message.key.request);
   const bool awaited = request != nullptr && request->asked == from &&
                        request->asks == message.key.send;
-  if (awaited) {
+  if (awaited && message.slot && !IsUsable(*message.slot)) {
+    GiveBack(from, message.slot->lease, SendEnd::kCancelled, std::nullopt, now);
+    ChooseAlone(message.key.request, now);
+  } else if (awaited) {
     request->asked.reset();
     UseSlot(message.key.request, std::move(message.slot), from, now);
   } else if (message.slot) {
@@ -345,7 +354,18 @@
   }
 }
 
-void Gateway::On(core::VmId /*from*/, TopicUpdate& /*message*/,
-                 core::Time /*now*/) {}
+void Gateway::On(core::VmId from, StateUpdate& message, core::Time now) {
+  const bool changed = spread_.Receive(from, message, now);
+  if (message.config) {
+    Configure(*std::move(message.config), now);
+  }
+  if (changed) {
+    FollowRegistry(now);
+  }
+}
+
+void Gateway::On(core::VmId from, StateAsk& message, core::Time now) {
+  spread_.Receive(from, message, now);
+}
 
 }  // namespace bambootack::gateway
--- a/src/bambootack/gateway/messages.h
+++ b/src/bambootack/gateway/messages.h
@@ -10,6 +10,7 @@
 #include "bambootack/core/handle.h"
 #include "bambootack/gateway/model.h"
 #include "bambootack/gateway/server_pool.h"
+#include "bambootack/gateway/server_registry.h"
 
 namespace bambootack::gateway {
 
@@ -48,18 +49,26 @@
   bool leaving = false;
 };
 
-/// @brief Records of a topic of the platform's store, read by one VM for the
-/// others.
-struct TopicUpdate {
-  std::uint8_t topic = 0;
-  std::uint64_t from = 0;  ///< Offset that the records follow.
-  std::uint64_t end = 0;   ///< Offset up to which they are complete.
-  std::string records;     ///< As read from the store.
+/// @brief What a VM knows beyond a position: answer to `StateAsk`, and sent
+/// unasked by the VM that reads the platform's store for its failure domain.
+struct StateUpdate {
+  std::uint64_t from = 0;      ///< Position that the changes follow.
+  std::uint64_t position = 0;  ///< Position up to which they are complete.
+  core::Duration age{};        ///< Since the store confirmed that position.
+  std::vector<ServerChange> servers;
+  std::uint64_t config_version = 0;
+  std::optional<GatewayConfig> config;  ///< Present if it was asked for.
+};
+
+/// @brief Asks a VM for what it knows beyond the own state.
+struct StateAsk {
+  std::uint64_t position = 0;
+  std::uint64_t config_version = 0;
 };
 
 /// @brief Any message between gateways.
 using PeerMessage = std::variant<SlotRequest, SlotReply, SlotRelease,
-                                 MemberNotice, TopicUpdate>;
+                                 MemberNotice, StateUpdate, StateAsk>;
 
 }  // namespace bambootack::gateway
 
--- a/src/bambootack/gateway/server_registry.cc
+++ b/src/bambootack/gateway/server_registry.cc
@@ -18,7 +18,8 @@
 
 }  // namespace
 
-bool ServerRegistry::Apply(ServerRecord record, core::Time now) {
+bool ServerRegistry::Apply(ServerRecord record, std::uint64_t position,
+                           core::Time now) {
   Newest& newest = newest_[record.id];
   const bool older = record.started < newest.started ||
                      (record.started == newest.started &&
@@ -26,8 +27,8 @@
   if (older) {
     return false;
   }
-  newest = {record.started, record.sequence};
-  DropFormerHolder(record);
+  newest = {record.started, record.sequence, 0};
+  DropFormerHolder(record, position);
   const auto found = servers_.find(record.id);
   const bool changed = found == servers_.end() ||
                        !SameButSequence(found->second.record, record);
@@ -35,32 +36,91 @@
   it.warm_at = now + record.warmup_left;
   it.remove_at.reset();
   it.record = std::move(record);
+  if (changed) {
+    it.position = position;
+  }
   return changed;
 }
 
 /// An address belongs to the server that started last; the one that had it
 /// before has ended.
-void ServerRegistry::DropFormerHolder(const ServerRecord& record) {
-  std::erase_if(servers_, [&](const auto& it) {
-    return it.first != record.id &&
-           it.second.record.address == record.address &&
-           it.second.record.started < record.started;
-  });
+void ServerRegistry::DropFormerHolder(const ServerRecord& record,
+                                      std::uint64_t position) {
+  std::vector<std::string> former;
+  for (const auto& [id, it] : servers_) {
+    if (id != record.id && it.record.address == record.address &&
+        it.record.started < record.started) {
+      former.push_back(id);
+    }
+  }
+  for (const std::string& id : former) {
+    Erase(id, position);
+  }
+}
+
+void ServerRegistry::Erase(std::string_view id, std::uint64_t position) {
+  newest_.find(id)->second.gone_at = position;
+  servers_.erase(servers_.find(id));
 }
 
-bool ServerRegistry::Remove(std::string_view id, core::Time now) {
+bool ServerRegistry::Remove(std::string_view id, std::uint64_t position,
+                            core::Time now) {
   const auto it = servers_.find(id);
   if (it == servers_.end()) {
     return false;
   }
   if (store_lost_ || (hold_until_ && now < *hold_until_)) {
     it->second.remove_at = hold_until_.value_or(now + kReturnTime);
+    it->second.position = position;
     return false;
   }
-  servers_.erase(it);
+  Erase(id, position);
   return true;
 }
 
+bool ServerRegistry::Adopt(const ServerChange& change, std::uint64_t position,
+                           core::Time now) {
+  if (!change.gone) {
+    return Apply(change.record, position, now);
+  }
+  const auto found = servers_.find(change.record.id);
+  const bool newer = found != servers_.end() &&
+                     (found->second.record.started > change.record.started ||
+                      (found->second.record.started == change.record.started &&
+                       found->second.record.sequence > change.record.sequence));
+  if (newer) {
+    return false;
+  }
+  Newest& newest = newest_[change.record.id];
+  newest.started = std::max(newest.started, change.record.started);
+  newest.gone_at = position;
+  return servers_.erase(change.record.id) > 0;
+}
+
+std::vector<ServerChange> ServerRegistry::Since(std::uint64_t position,
+                                                core::Time now) const {
+  std::vector<ServerChange> changes;
+  for (const auto& [id, it] : servers_) {
+    if (it.position > position) {
+      changes.push_back({it.record, false});
+      changes.back().record.warmup_left = std::max(
+          core::Duration{},
+          std::chrono::duration_cast<core::Duration>(it.warm_at - now));
+    }
+  }
+  for (const auto& [id, it] : newest_) {
+    if (it.gone_at > position) {
+      ServerChange change;
+      change.record.id = id;
+      change.record.started = it.started;
+      change.record.sequence = it.sequence;
+      change.gone = true;
+      changes.push_back(std::move(change));
+    }
+  }
+  return changes;
+}
+
 void ServerRegistry::StoreLost(core::Time /*now*/) noexcept {
   store_lost_ = true;
 }
@@ -72,9 +132,16 @@
 }
 
 bool ServerRegistry::Expire(core::Time now) {
-  return std::erase_if(servers_, [&](const auto& it) {
-           return it.second.remove_at && *it.second.remove_at <= now;
-         }) > 0;
+  std::vector<std::string> due;
+  for (const auto& [id, it] : servers_) {
+    if (it.remove_at && *it.remove_at <= now) {
+      due.push_back(id);
+    }
+  }
+  for (const std::string& id : due) {
+    Erase(id, servers_.find(id)->second.position);
+  }
+  return !due.empty();
 }
 
 std::optional<core::Time> ServerRegistry::NextDue() const noexcept {
--- a/src/bambootack/gateway/server_registry.h
+++ b/src/bambootack/gateway/server_registry.h
@@ -6,15 +6,25 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "bambootack/core/time.h"
 #include "bambootack/gateway/model.h"
 
 namespace bambootack::gateway {
 
+/// @brief A change of one server, for other VMs.
+struct ServerChange {
+  ServerRecord record;
+  bool gone = false;  ///< Only the id, start and sequence of `record` count.
+
+  friend bool operator==(const ServerChange&, const ServerChange&) = default;
+};
+
 /// @brief A registered server.
 struct Registration {
   ServerRecord record;
+  std::uint64_t position = 0;  ///< Position in the store of its last change.
   core::Time warm_at{};  ///< When its warm-up ends.
   /// Set while a removal waits: the entry may only have lapsed because the
   /// store was away.
@@ -27,15 +37,32 @@
  public:
   /// @brief Takes over a report.
   /// @param record The report.
+  /// @param position Position in the store after it.
   /// @param now Current time.
   /// @return True if anything but its sequence number changed.
-  bool Apply(ServerRecord record, core::Time now);
+  bool Apply(ServerRecord record, std::uint64_t position, core::Time now);
 
   /// @brief Removes a server whose entry is gone or unreadable.
   /// @param id The server.
+  /// @param position Position in the store after that.
   /// @param now Current time.
   /// @return True if the server was usable until now.
-  bool Remove(std::string_view id, core::Time now);
+  bool Remove(std::string_view id, std::uint64_t position, core::Time now);
+
+  /// @brief Takes over a change that another VM has read.
+  /// @param change The change.
+  /// @param position Position of that VM.
+  /// @param now Current time.
+  /// @return True if it changed anything but a sequence number.
+  bool Adopt(const ServerChange& change, std::uint64_t position,
+             core::Time now);
+
+  /// @brief Lists the changes after a position.
+  /// @param position The position.
+  /// @param now Current time.
+  /// @return The newest change of each server concerned.
+  [[nodiscard]] std::vector<ServerChange> Since(std::uint64_t position,
+                                                core::Time now) const;
 
   /// @brief Tells that the store does not answer. Entries that vanish until it
   /// has answered again for a while are kept.
@@ -68,9 +95,11 @@
   struct Newest {
     std::int64_t started = 0;
     std::int64_t sequence = 0;
+    std::uint64_t gone_at = 0;  ///< Position of the removal, if removed.
   };
 
-  void DropFormerHolder(const ServerRecord& record);
+  void DropFormerHolder(const ServerRecord& record, std::uint64_t position);
+  void Erase(std::string_view id, std::uint64_t position);
 
   std::map<std::string, Registration, std::less<>> servers_;
   std::map<std::string, Newest, std::less<>> newest_;
--- a/src/bambootack/gateway/settings.cc
+++ b/src/bambootack/gateway/settings.cc
@@ -25,6 +25,7 @@
   result.peer_address = Address(reader, "peer_address");
   result.store_address = Address(reader, "store_address");
   result.platform_bounds = reader.String("platform_bounds", "");
+  result.first_start = reader.Boolean("first_start", false);
   result.log_level = reader.Enum("log_level", settings::kLogLevelNames,
                                  &result.log_level);
   result.stop_grace =
--- a/src/bambootack/gateway/settings.h
+++ b/src/bambootack/gateway/settings.h
@@ -20,6 +20,7 @@
   std::string peer_address;      ///< IP:port for other VMs.
   std::string store_address;     ///< IP:port of the platform's store.
   std::string platform_bounds;   ///< Limits in the platform's own form.
+  bool first_start = false;      ///< The whole fleet starts for the first time.
   settings::LogLevel log_level = settings::LogLevel::kInfo;
   /// Time after the start of a planned stop in which requests still arrive.
   core::Duration stop_grace = std::chrono::milliseconds(2500);
--- a/src/bambootack/gateway/slot_broker.cc
+++ b/src/bambootack/gateway/slot_broker.cc
@@ -61,6 +61,12 @@
   suspicions_[vm] = {now + kLeavingTime, kFirstSuspicion, true};
 }
 
+bool SlotBroker::IsLeaving(core::VmId vm, core::Time now) const {
+  const auto it = suspicions_.find(vm);
+  return it != suspicions_.end() && it->second.leaving &&
+         now < it->second.until;
+}
+
 void SlotBroker::Trust(core::VmId vm) {
   const auto it = suspicions_.find(vm);
   if (it != suspicions_.end() && !it->second.leaving) {
--- a/src/bambootack/gateway/slot_broker.h
+++ b/src/bambootack/gateway/slot_broker.h
@@ -54,6 +54,12 @@
   /// @param vm The VM.
   void Welcome(core::VmId vm) { suspicions_.erase(vm); }
 
+  /// @brief Tells whether a VM is about to stop.
+  /// @param vm The VM.
+  /// @param now Current time.
+  /// @return True if it said so.
+  [[nodiscard]] bool IsLeaving(core::VmId vm, core::Time now) const;
+
   /// @brief The other VMs.
   /// @return The members.
   [[nodiscard]] std::vector<membership::Member> Others() const;
--- /dev/null
+++ b/src/bambootack/gateway/state_spread.h
@@ -0,0 +1,122 @@
+#ifndef BAMBOOTACK_GATEWAY_STATE_SPREAD_H_
+#define BAMBOOTACK_GATEWAY_STATE_SPREAD_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "bambootack/core/ids.h"
+#include "bambootack/core/random.h"
+#include "bambootack/core/time.h"
+#include "bambootack/gateway/messages.h"
+#include "bambootack/gateway/server_registry.h"
+#include "bambootack/gateway/slot_broker.h"
+
+namespace bambootack::gateway {
+
+/// @brief Decides which VM reads the platform's store and who tells whom. One
+/// VM of each failure domain reads and tells the others of the domain; a VM
+/// that hears nothing fresh reads for itself and asks any other VM.
+class StateSpread {
+ public:
+  /// @brief A message to send.
+  using Outgoing = std::pair<core::VmId, PeerMessage>;
+
+  /// @brief Creates a spread without knowledge.
+  /// @param self This VM.
+  /// @param registry Registry of servers.
+  /// @param broker VMs of the fleet.
+  /// @param failure_domain Failure domain of this VM.
+  StateSpread(core::VmId self, std::string failure_domain,
+              ServerRegistry& registry, SlotBroker& broker)
+      : self_(self),
+        failure_domain_(std::move(failure_domain)),
+        registry_(registry),
+        broker_(broker) {}
+
+  /// @brief Sets when the VM first reads if it hears nothing until then.
+  /// @param time The time.
+  void Begin(core::Time time) noexcept { patience_until_ = time; }
+
+  /// @brief Tells that the other VMs of the fleet are known.
+  void Settle() noexcept { settled_ = true; }
+
+  /// @brief Tells whether this VM is to read the store.
+  /// @param now Current time.
+  /// @return True for the reader of the domain and for a VM without fresh
+  /// knowledge.
+  [[nodiscard]] bool ShouldRead(core::Time now) const;
+
+  /// @brief Notes what the store has confirmed to this VM.
+  /// @param position Position in the topic of servers.
+  /// @param confirmed When the read began.
+  /// @param now Current time.
+  void NoteRead(std::uint64_t position, core::Time confirmed, core::Time now);
+
+  /// @brief Notes the configuration in force.
+  /// @param config The configuration.
+  /// @param now Current time.
+  void NoteConfig(const GatewayConfig& config, core::Time now);
+
+  /// @brief Takes a report of another VM.
+  /// @param from The sender.
+  /// @param update The report.
+  /// @param now Current time.
+  /// @return True if servers have changed. The caller takes the configuration.
+  bool Receive(core::VmId from, const StateUpdate& update, core::Time now);
+
+  /// @brief Answers a question of another VM.
+  /// @param from The sender.
+  /// @param ask The question.
+  /// @param now Current time.
+  void Receive(core::VmId from, const StateAsk& ask, core::Time now);
+
+  /// @brief Does what is due.
+  /// @param now Current time.
+  /// @param random Source of random numbers.
+  void Tick(core::Time now, core::Random& random);
+
+  /// @brief When `Tick` or a change of `ShouldRead` is due.
+  /// @return The time.
+  [[nodiscard]] core::Time NextDue() const;
+
+  /// @brief Position up to which the registry is complete.
+  /// @return The position, zero before the first knowledge.
+  [[nodiscard]] std::uint64_t Position() const noexcept { return position_; }
+
+  /// @brief Takes the messages to send since the last call.
+  /// @return The messages.
+  [[nodiscard]] std::vector<Outgoing> TakeMessages() {
+    return std::exchange(outgoing_, {});
+  }
+
+ private:
+  [[nodiscard]] core::VmId ReaderOfDomain(core::Time now) const;
+  [[nodiscard]] core::Time FreshUntil() const;
+  [[nodiscard]] StateUpdate UpdateSince(std::uint64_t position,
+                                        core::Time now) const;
+  void Announce(core::Time now);
+  void Ask(core::VmId vm, core::Time now);
+
+  core::VmId self_;
+  std::string failure_domain_;
+  ServerRegistry& registry_;
+  SlotBroker& broker_;
+  std::uint64_t position_ = 0;
+  std::optional<core::Time> confirmed_;
+  core::Time patience_until_{};
+  std::optional<GatewayConfig> config_;
+  std::uint64_t announced_ = 0;  ///< Position at the last announcement.
+  core::Time ask_at_{};          ///< Earliest time of the next question.
+  /// Readers that told nothing fresh, until they are tried again.
+  std::map<core::VmId, core::Time> silent_until_;
+  std::vector<Outgoing> outgoing_;
+  bool settled_ = false;
+};
+
+}  // namespace bambootack::gateway
+
+#endif  // BAMBOOTACK_GATEWAY_STATE_SPREAD_H_
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -39,6 +39,11 @@
 /// VMs that start together join the fleet within this time.
 constexpr core::Duration kJoinSpread = std::chrono::milliseconds(800);
 
+/// A VM that hears nothing from others reads the store after this. When the
+/// whole fleet starts, VMs find each other first; else the others know more.
+constexpr core::Duration kFirstPatience = std::chrono::milliseconds(4500);
+constexpr core::Duration kRestartPatience = std::chrono::milliseconds(600);
+
 /// Calls of the store have numbers apart from those of sends.
 constexpr std::uint64_t kFirstStoreCall = 1ULL << 62;
 
@@ -105,7 +110,8 @@
                [this](log::EventId id, std::string detail) {
                  log_.Add({id, std::move(detail)}, Now());
                }),
-        join_({settings_.peer_address, settings_.failure_domain}, &DrawKey),
+        join_({settings_.peer_address, settings_.failure_domain},
+              settings_.first_start, &DrawKey),
         timer_(control_),
         signals_(control_, SIGTERM, SIGINT, SIGHUP),
         client_(kMaxAnswerBytes),
@@ -139,9 +145,12 @@
                           settings_.caller_address, settings_.operator_address,
                           settings_.peer_address, settings_.store_address)},
              Now());
-    store_.Begin(Now(), random_);
     const auto spread = static_cast<std::uint64_t>(kJoinSpread.count());
-    join_.Postpone(Now() + core::Duration(random_.Below(spread)));
+    const core::Duration delay(random_.Below(spread));
+    join_.Postpone(Now() + (settings_.first_start ? delay : delay / 4));
+    gateway_.Spread().Begin(
+        Now() + delay +
+        (settings_.first_start ? kFirstPatience : kRestartPatience));
     WaitForSignal();
     Settle();
     control_.run();
@@ -233,7 +242,7 @@
         due = other;
       }
     };
-    earlier(store_.NextDue());
+    earlier(store_.NextDue(now));
     earlier(join_.NextDue());
     if (stop_at_) {
       earlier(std::min(*stop_at_, stop_by_));
@@ -291,6 +300,9 @@
     for (const auto& [address, it] : join_.Members()) {
       gateway_.Meet({NumberOf(address), {}, address, it.failure_domain});
     }
+    if (join_.IsDone()) {
+      gateway_.Spread().Settle();
+    }
   }
 
   void Do(node::AnswerCaller action, core::Time /*now*/) {
