--- a/src/bambootack/gateway/gateway_sends.cc
+++ b/src/bambootack/gateway/gateway_sends.cc
@@ -32,6 +32,13 @@
 constexpr double kFleetPart = 0.5;
 constexpr double kAlonePart = 0.4;
 
+std::string_view StateName(bool draining, bool gone) {
+  if (gone) {
+    return "gone";
+  }
+  return draining ? "draining" : "ready";
+}
+
 }  // namespace
 
 SlotNeed Gateway::NeedOf(const Request& request, core::Time now) const {
@@ -355,13 +362,22 @@
 }
 
 void Gateway::On(core::VmId from, StateUpdate& message, core::Time now) {
-  const bool changed = spread_.Receive(from, message, now);
+  const std::vector<ServerChange> changes =
+      spread_.Receive(from, message, now);
   if (message.config) {
     Configure(*std::move(message.config), now);
   }
-  if (changed) {
-    FollowRegistry(now);
+  if (changes.empty()) {
+    return;
+  }
+  for (const ServerChange& it : changes) {
+    Log(log::EventId::kServerChanged,
+        fmt::format("server={} state={} from={} position={} age_ms={}",
+                    it.record.id, StateName(it.record.draining, it.gone),
+                    static_cast<std::uint32_t>(from), message.position,
+                    core::ToMilliseconds(message.age)));
   }
+  FollowRegistry(now);
 }
 
 void Gateway::On(core::VmId from, StateAsk& message, core::Time now) {
--- a/src/bambootack/gateway/state_spread.cc
+++ b/src/bambootack/gateway/state_spread.cc
@@ -94,15 +94,18 @@
   }
 }
 
-bool StateSpread::Receive(core::VmId from, const StateUpdate& update,
-                          core::Time now) {
+std::vector<ServerChange> StateSpread::Receive(core::VmId from,
+                                               const StateUpdate& update,
+                                               core::Time now) {
+  std::vector<ServerChange> changed;
   if (update.from > position_) {
     Ask(from, now);
-    return false;
+    return changed;
   }
-  bool changed = false;
   for (const ServerChange& it : update.servers) {
-    changed = registry_.Adopt(it, update.position, now) || changed;
+    if (registry_.Adopt(it, update.position, now)) {
+      changed.push_back(it);
+    }
   }
   position_ = std::max(position_, update.position);
   const core::Time confirmed = now - update.age;
--- a/src/bambootack/gateway/state_spread.h
+++ b/src/bambootack/gateway/state_spread.h
@@ -65,8 +65,9 @@
   /// @param from The sender.
   /// @param update The report.
   /// @param now Current time.
-  /// @return True if servers have changed. The caller takes the configuration.
-  bool Receive(core::VmId from, const StateUpdate& update, core::Time now);
+  /// @return Changes that were new. The caller takes the configuration.
+  std::vector<ServerChange> Receive(core::VmId from, const StateUpdate& update,
+                                    core::Time now);
 
   /// @brief Answers a question of another VM.
   /// @param from The sender.
