Order reports of servers by their place in the store

Ruled out: lost announcements (the same message was taken by the VMs that had been turned away). The store writes an entry only when more than its sequence changes, so reads are held.

--- a/src/bambootack/gateway/codec.cc
+++ b/src/bambootack/gateway/codec.cc
@@ -82,7 +82,7 @@
 
 template <typename A>
 void serialize(A& ar, ServerChange& it) {
-  ar(it.record, it.gone);
+  ar(it.record, it.gone, it.offset);
 }
 
 template <typename A>
--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -137,7 +137,7 @@
   }
   spread_.Tick(now, random_);
   pool_.Expire(now);
-  if (registry_.Expire(now)) {
+  if (registry_.Expire(spread_.Position(), now)) {
     pool_.Follow(registry_, now);
   }
   ReportTrust(now);
--- a/src/bambootack/gateway/server_registry.cc
+++ b/src/bambootack/gateway/server_registry.cc
@@ -18,17 +18,20 @@
 
 }  // namespace
 
-bool ServerRegistry::Apply(ServerRecord record, std::uint64_t position,
+bool ServerRegistry::Apply(ServerRecord record, std::uint64_t offset,
                            core::Time now) {
   Newest& newest = newest_[record.id];
+  if (newest.offset && offset <= *newest.offset) {
+    return false;
+  }
   const bool older = record.started < newest.started ||
                      (record.started == newest.started &&
                       record.sequence < newest.sequence);
   if (older) {
     return false;
   }
-  newest = {record.started, record.sequence, 0};
-  DropFormerHolder(record, position);
+  newest = {record.started, record.sequence, offset, false, offset};
+  DropFormerHolder(record, offset);
   const auto found = servers_.find(record.id);
   const bool changed = found == servers_.end() ||
                        !SameButSequence(found->second.record, record);
@@ -37,7 +40,7 @@
   it.remove_at.reset();
   it.record = std::move(record);
   if (changed) {
-    it.position = position;
+    it.offset = offset;
   }
   return changed;
 }
@@ -45,7 +48,7 @@
 /// An address belongs to the server that started last; the one that had it
 /// before has ended.
 void ServerRegistry::DropFormerHolder(const ServerRecord& record,
-                                      std::uint64_t position) {
+                                      std::uint64_t offset) {
   std::vector<std::string> former;
   for (const auto& [id, it] : servers_) {
     if (id != record.id && it.record.address == record.address &&
@@ -54,67 +57,64 @@
     }
   }
   for (const std::string& id : former) {
-    Erase(id, position);
+    Erase(id, offset);
   }
 }
 
-void ServerRegistry::Erase(std::string_view id, std::uint64_t position) {
-  newest_.find(id)->second.gone_at = position;
+void ServerRegistry::Erase(std::string_view id, std::uint64_t offset) {
+  Newest& newest = newest_.find(id)->second;
+  newest.offset = std::max(newest.offset.value_or(0), offset);
+  newest.gone = true;
+  newest.told_from = *newest.offset;
   servers_.erase(servers_.find(id));
 }
 
-bool ServerRegistry::Remove(std::string_view id, std::uint64_t position,
+bool ServerRegistry::Remove(std::string_view id, std::uint64_t offset,
                             core::Time now) {
   const auto it = servers_.find(id);
-  if (it == servers_.end()) {
+  if (it == servers_.end() || newest_.find(id)->second.offset > offset) {
     return false;
   }
   if (store_lost_ || (hold_until_ && now < *hold_until_)) {
     it->second.remove_at = hold_until_.value_or(now + kReturnTime);
-    it->second.position = position;
+    it->second.offset = offset;
     return false;
   }
-  Erase(id, position);
+  Erase(id, offset);
   return true;
 }
 
-bool ServerRegistry::Adopt(const ServerChange& change, std::uint64_t position,
-                           core::Time now) {
+bool ServerRegistry::Adopt(const ServerChange& change, core::Time now) {
   if (!change.gone) {
-    return Apply(change.record, position, now);
+    return Apply(change.record, change.offset, now);
   }
-  const auto found = servers_.find(change.record.id);
-  const bool newer = found != servers_.end() &&
-                     (found->second.record.started > change.record.started ||
-                      (found->second.record.started == change.record.started &&
-                       found->second.record.sequence > change.record.sequence));
-  if (newer) {
+  Newest& newest = newest_[change.record.id];
+  if (newest.offset && change.offset <= *newest.offset) {
     return false;
   }
-  Newest& newest = newest_[change.record.id];
-  newest.started = std::max(newest.started, change.record.started);
-  newest.gone_at = position;
+  newest.offset = change.offset;
+  newest.gone = true;
+  newest.told_from = change.offset;
   return servers_.erase(change.record.id) > 0;
 }
 
-std::vector<ServerChange> ServerRegistry::Since(std::uint64_t position,
+std::vector<ServerChange> ServerRegistry::Since(std::uint64_t offset,
                                                 core::Time now) const {
   std::vector<ServerChange> changes;
   for (const auto& [id, it] : servers_) {
-    if (it.position > position) {
-      changes.push_back({it.record, false});
+    if (it.offset >= offset && !it.remove_at) {
+      changes.push_back({it.record, false, it.offset});
       changes.back().record.warmup_left = std::max(
           core::Duration{},
           std::chrono::duration_cast<core::Duration>(it.warm_at - now));
     }
   }
   for (const auto& [id, it] : newest_) {
-    if (it.gone_at > position) {
+    if (it.gone && it.told_from >= offset) {
       ServerChange change;
       change.record.id = id;
-      change.record.started = it.started;
-      change.record.sequence = it.sequence;
       change.gone = true;
+      change.offset = *it.offset;
       changes.push_back(std::move(change));
     }
   }
@@ -131,7 +131,7 @@
   }
 }
 
-bool ServerRegistry::Expire(core::Time now) {
+bool ServerRegistry::Expire(std::uint64_t position, core::Time now) {
   std::vector<std::string> due;
   for (const auto& [id, it] : servers_) {
     if (it.remove_at && *it.remove_at <= now) {
@@ -139,7 +139,8 @@
     }
   }
   for (const std::string& id : due) {
-    Erase(id, servers_.find(id)->second.position);
+    Erase(id, servers_.find(id)->second.offset);
+    newest_.find(id)->second.told_from = position;
   }
   return !due.empty();
 }
--- a/src/bambootack/gateway/server_registry.h
+++ b/src/bambootack/gateway/server_registry.h
@@ -16,7 +16,8 @@
 /// @brief A change of one server, for other VMs.
 struct ServerChange {
   ServerRecord record;
-  bool gone = false;  ///< Only the id, start and sequence of `record` count.
+  bool gone = false;  ///< Only the id of `record` counts.
+  std::uint64_t offset = 0;  ///< Place in the store.
 
   friend bool operator==(const ServerChange&, const ServerChange&) = default;
 };
@@ -24,7 +25,7 @@
 /// @brief A registered server.
 struct Registration {
   ServerRecord record;
-  std::uint64_t position = 0;  ///< Position in the store of its last change.
+  std::uint64_t offset = 0;  ///< Place in the store of its last change.
   core::Time warm_at{};  ///< When its warm-up ends.
   /// Set while a removal waits: the entry may only have lapsed because the
   /// store was away.
@@ -32,36 +33,35 @@
 };
 
 /// @brief Servers by their own reports, which come through the platform's
-/// store. Reports may be late, repeated or of an earlier start of a server.
+/// store. The store orders them; a report that it took late may still be of an
+/// earlier start of the server.
 class ServerRegistry {
  public:
   /// @brief Takes over a report.
   /// @param record The report.
-  /// @param position Position in the store after it.
+  /// @param offset Its place in the store.
   /// @param now Current time.
   /// @return True if anything but its sequence number changed.
-  bool Apply(ServerRecord record, std::uint64_t position, core::Time now);
+  bool Apply(ServerRecord record, std::uint64_t offset, core::Time now);
 
   /// @brief Removes a server whose entry is gone or unreadable.
   /// @param id The server.
-  /// @param position Position in the store after that.
+  /// @param offset Place of the removal in the store.
   /// @param now Current time.
   /// @return True if the server was usable until now.
-  bool Remove(std::string_view id, std::uint64_t position, core::Time now);
+  bool Remove(std::string_view id, std::uint64_t offset, core::Time now);
 
   /// @brief Takes over a change that another VM has read.
   /// @param change The change.
-  /// @param position Position of that VM.
   /// @param now Current time.
   /// @return True if it changed anything but a sequence number.
-  bool Adopt(const ServerChange& change, std::uint64_t position,
-             core::Time now);
+  bool Adopt(const ServerChange& change, core::Time now);
 
-  /// @brief Lists the changes after a position.
-  /// @param position The position.
+  /// @brief Lists the changes from a place in the store on.
+  /// @param offset The place.
   /// @param now Current time.
   /// @return The newest change of each server concerned.
-  [[nodiscard]] std::vector<ServerChange> Since(std::uint64_t position,
+  [[nodiscard]] std::vector<ServerChange> Since(std::uint64_t offset,
                                                 core::Time now) const;
 
   /// @brief Tells that the store does not answer. Entries that vanish until it
@@ -74,9 +74,10 @@
   void StoreFound(core::Time now) noexcept;
 
   /// @brief Carries out removals that are due.
+  /// @param position Place in the store up to which all is known.
   /// @param now Current time.
   /// @return True if a server was removed.
-  bool Expire(core::Time now);
+  bool Expire(std::uint64_t position, core::Time now);
 
   /// @brief When `Expire` is due.
   /// @return The time, or nothing.
@@ -90,16 +91,17 @@
   }
 
  private:
-  /// Newest report of an id, kept after its removal, so that a late report
-  /// of an earlier time does not bring the server back.
+  /// What the store last said of an id, kept after its removal.
   struct Newest {
     std::int64_t started = 0;
     std::int64_t sequence = 0;
-    std::uint64_t gone_at = 0;  ///< Position of the removal, if removed.
+    std::optional<std::uint64_t> offset;
+    bool gone = false;
+    std::uint64_t told_from = 0;  ///< Others need it if they know less.
   };
 
-  void DropFormerHolder(const ServerRecord& record, std::uint64_t position);
-  void Erase(std::string_view id, std::uint64_t position);
+  void DropFormerHolder(const ServerRecord& record, std::uint64_t offset);
+  void Erase(std::string_view id, std::uint64_t offset);
 
   std::map<std::string, Registration, std::less<>> servers_;
   std::map<std::string, Newest, std::less<>> newest_;
--- a/src/bambootack/gateway/state_spread.cc
+++ b/src/bambootack/gateway/state_spread.cc
@@ -9,8 +9,8 @@
 
 /// Knowledge older than this is not relied on. Draining servers get no work
 /// 2 s after their report, and a change of configuration is in force after 2 s;
-/// half of that is left for a read of one's own.
-constexpr core::Duration kFreshTime = std::chrono::milliseconds(1100);
+/// what is left suffices for a read of one's own.
+constexpr core::Duration kFreshTime = std::chrono::milliseconds(1500);
 
 /// A reader that told nothing fresh is passed over for this long.
 constexpr core::Duration kSilentTime = std::chrono::milliseconds(3000);
@@ -103,7 +103,7 @@
     return changed;
   }
   for (const ServerChange& it : update.servers) {
-    if (registry_.Adopt(it, update.position, now)) {
+    if (registry_.Adopt(it, now)) {
       changed.push_back(it);
     }
   }
