--- a/src/bambootack/gateway/state_spread.cc
+++ b/src/bambootack/gateway/state_spread.cc
@@ -18,6 +18,10 @@
 /// Pause between two questions.
 constexpr core::Duration kAskPause = std::chrono::milliseconds(250);
 
+/// A VM that others are ahead of, and that cannot get from them what it lacks,
+/// reads for itself after this.
+constexpr core::Duration kBehindTime = std::chrono::milliseconds(500);
+
 }  // namespace
 
 core::VmId StateSpread::ReaderOfDomain(core::Time now) const {
@@ -44,14 +48,24 @@
 }
 
 bool StateSpread::ShouldRead(core::Time now) const {
-  return now >= FreshUntil() ||
+  const bool left_behind = behind_since_ && now >= *behind_since_ + kBehindTime;
+  return now >= FreshUntil() || left_behind ||
          ((confirmed_ || settled_) && ReaderOfDomain(now) == self_);
 }
 
+void StateSpread::CheckBehind(core::Time now) {
+  if (heard_position_ <= position_ && heard_version_ <= Version()) {
+    behind_since_.reset();
+  } else if (!behind_since_) {
+    behind_since_ = now;
+  }
+}
+
 void StateSpread::NoteRead(std::uint64_t position, core::Time confirmed,
                            core::Time now) {
   position_ = std::max(position_, position);
   confirmed_ = std::max(confirmed_.value_or(confirmed), confirmed);
+  CheckBehind(now);
   if (ReaderOfDomain(now) == self_) {
     Announce(now);
   }
@@ -59,6 +73,7 @@
 
 void StateSpread::NoteConfig(const GatewayConfig& config, core::Time now) {
   config_ = config;
+  CheckBehind(now);
   if (confirmed_ && ReaderOfDomain(now) == self_) {
     Announce(now);
   }
@@ -72,7 +87,7 @@
   update.age = std::chrono::duration_cast<core::Duration>(
       now - confirmed_.value_or(core::Time{}));
   update.servers = registry_.Since(position, now);
-  update.config_version = config_ ? config_->version : 0;
+  update.config_version = Version();
   return update;
 }
 
@@ -89,8 +104,7 @@
 void StateSpread::Ask(core::VmId vm, core::Time now) {
   if (now >= ask_at_) {
     ask_at_ = now + kAskPause;
-    outgoing_.emplace_back(
-        vm, StateAsk{position_, config_ ? config_->version : 0});
+    outgoing_.emplace_back(vm, StateAsk{position_, Version()});
   }
 }
 
@@ -98,7 +112,10 @@
                                                const StateUpdate& update,
                                                core::Time now) {
   std::vector<ServerChange> changed;
+  heard_position_ = std::max(heard_position_, update.position);
+  heard_version_ = std::max(heard_version_, update.config_version);
   if (update.from > position_) {
+    CheckBehind(now);
     Ask(from, now);
     return changed;
   }
@@ -115,8 +132,8 @@
   if (update.age < kFreshTime) {
     silent_until_.erase(from);
   }
-  const std::uint64_t version = config_ ? config_->version : 0;
-  if (!update.config && update.config_version > version) {
+  CheckBehind(now);
+  if (!update.config && update.config_version > Version()) {
     Ask(from, now);
   }
   return changed;
@@ -136,11 +153,11 @@
 
 void StateSpread::Tick(core::Time now, core::Random& random) {
   const bool fresh = confirmed_ && now < FreshUntil();
-  if (fresh || now < ask_at_) {
+  if ((fresh && !behind_since_) || now < ask_at_) {
     return;
   }
   const core::VmId reader = ReaderOfDomain(now);
-  if (confirmed_ && reader != self_) {
+  if (confirmed_ && !fresh && reader != self_) {
     silent_until_[reader] = now + kSilentTime;
   }
   const std::vector<membership::Member> others = broker_.Others();
@@ -152,7 +169,8 @@
 }
 
 core::Time StateSpread::NextDue() const {
-  return std::max(confirmed_ ? FreshUntil() : core::Time{}, ask_at_);
+  const bool wait_for_age = confirmed_ && !behind_since_;
+  return std::max(wait_for_age ? FreshUntil() : core::Time{}, ask_at_);
 }
 
 }  // namespace bambootack::gateway
--- a/src/bambootack/gateway/state_spread.h
+++ b/src/bambootack/gateway/state_spread.h
@@ -97,6 +97,10 @@
  private:
   [[nodiscard]] core::VmId ReaderOfDomain(core::Time now) const;
   [[nodiscard]] core::Time FreshUntil() const;
+  [[nodiscard]] std::uint64_t Version() const noexcept {
+    return config_ ? config_->version : 0;
+  }
+  void CheckBehind(core::Time now);
   [[nodiscard]] StateUpdate UpdateSince(std::uint64_t position,
                                         core::Time now) const;
   void Announce(core::Time now);
@@ -112,6 +116,9 @@
   std::optional<GatewayConfig> config_;
   std::uint64_t announced_ = 0;  ///< Position at the last announcement.
   core::Time ask_at_{};          ///< Earliest time of the next question.
+  std::uint64_t heard_position_ = 0;  ///< Highest position of any VM.
+  std::uint64_t heard_version_ = 0;   ///< Highest version of any VM.
+  std::optional<core::Time> behind_since_;
   /// Readers that told nothing fresh, until they are tried again.
   std::map<core::VmId, core::Time> silent_until_;
   std::vector<Outgoing> outgoing_;
--- a/src/bambootack/net/peer_transport.cc
+++ b/src/bambootack/net/peer_transport.cc
@@ -1,5 +1,8 @@
 #include "bambootack/net/peer_transport.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <array>
 #include <asio.hpp>
 #include <cstdint>
@@ -25,6 +28,9 @@
 /// Least time between two hellos that are sent to a VM as datagrams.
 constexpr auto kHelloInterval = std::chrono::seconds(1);
 
+/// A connection whose data is not confirmed for this long has gone silent.
+constexpr unsigned kSilentMs = 700;
+
 /// For the connection and the hello of the accepting side.
 constexpr auto kConnectTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxFrameBytes =
@@ -40,6 +46,14 @@
   return {endpoint.address(), endpoint.port()};
 }
 
+void SetOptions(tcp::socket& socket) {
+  std::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  const int set = setsockopt(socket.native_handle(), IPPROTO_TCP,
+                             TCP_USER_TIMEOUT, &kSilentMs, sizeof(kSilentMs));
+  static_cast<void>(set);  // Without it, TCP's own timeout of minutes applies.
+}
+
 std::string WithLength(std::string frame) {
   const auto n = static_cast<std::uint32_t>(frame.size());
   std::string buf(kLengthBytes, '\0');
@@ -166,8 +180,7 @@
           if (ec) {
             return self->Fail();
           }
-          std::error_code ignored;
-          self->socket_.set_option(tcp::no_delay(true), ignored);
+          SetOptions(self->socket_);
           self->ReadHello();
         });
   }
@@ -350,8 +363,7 @@
   void AcceptConnection() {
     acceptor_.async_accept([this](std::error_code ec, tcp::socket socket) {
       if (!ec) {
-        std::error_code ignored;
-        socket.set_option(tcp::no_delay(true), ignored);
+        SetOptions(socket);
         std::make_shared<Incoming>(std::move(socket), callbacks_)->Start();
       }
       AcceptConnection();
