--- a/src/bambootack/gateway/dialect.h
+++ b/src/bambootack/gateway/dialect.h
@@ -36,10 +36,9 @@
 /// @param server Id of the server.
 /// @param remaining Time left until the deadline.
 /// @return The request.
-[[nodiscard]] core::HttpRequest ToServerRequest(const Dialect& dialect,
-                                                const core::HttpRequest& request,
-                                                std::string_view server,
-                                                core::Duration remaining);
+[[nodiscard]] core::HttpRequest ToServerRequest(
+    const Dialect& dialect, const core::HttpRequest& request,
+    std::string_view server, core::Duration remaining);
 
 /// @brief Classifies a server's whole answer. An answer to another request, or
 /// one that claims success without the server's signature, is invalid.
--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -48,8 +48,8 @@
   if (routes_->Version() == 0) {
     return core::ErrorKind::kNotReady;
   }
-  const auto id = core::FindHeader(request.http.headers,
-                                   options_.dialect.request_id);
+  const auto id =
+      core::FindHeader(request.http.headers, options_.dialect.request_id);
   if (!id || id->empty()) {
     return core::ErrorKind::kMalformedRequest;
   }
@@ -73,17 +73,17 @@
   request.arrived = now;
   if (const auto error = Route(request)) {
     Log(log::EventId::kRequestRefused,
-        fmt::format("request={} error={} version={} path={}",
-                    Shown(request.id), core::AnswerOf(*error).name,
-                    routes_->Version(), Shown(request.http.target)));
+        fmt::format("request={} error={} version={} path={}", Shown(request.id),
+                    core::AnswerOf(*error).name, routes_->Version(),
+                    Shown(request.http.target)));
     Answer(caller, RefusalAnswer(*error, {}, true));
     return;
   }
   const core::Duration patience = request.route->timeout;
   request.deadline =
-      now + std::min(patience, RemainingTime(options_.dialect,
-                                             request.http.headers)
-                                   .value_or(patience));
+      now +
+      std::min(patience, RemainingTime(options_.dialect, request.http.headers)
+                             .value_or(patience));
   Log(log::EventId::kRequestAdmitted,
       fmt::format("request={} route={} service={} version={} left_ms={}",
                   Shown(request.id), request.route->id, request.service,
@@ -158,10 +158,10 @@
                       core::Time now) {
   const Request& request = *requests_.Find(handle);
   Log(log::EventId::kRequestAnswered,
-      fmt::format("request={} status={} server={} sends={} ms={}",
-                  Shown(request.id), answer.status,
-                  request.send ? request.send->slot.server : "-",
-                  request.arrivals, core::ToMilliseconds(now - request.arrived)));
+      fmt::format(
+          "request={} status={} server={} sends={} ms={}", Shown(request.id),
+          answer.status, request.send ? request.send->slot.server : "-",
+          request.arrivals, core::ToMilliseconds(now - request.arrived)));
   answer.headers = core::EndToEndHeaders(answer.headers);
   Answer(request.caller, std::move(answer));
   Erase(handle);
--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -112,8 +112,8 @@
   /// @param end How the attempt ended.
   /// @param answer The server's answer, if there is one.
   /// @param now Current time.
-  void Finish(std::uint64_t send, node::AttemptEnd end,
-              core::HttpAnswer answer, core::Time now);
+  void Finish(std::uint64_t send, node::AttemptEnd end, core::HttpAnswer answer,
+              core::Time now);
 
   /// @brief Takes a message of another gateway.
   /// @param from The sender.
@@ -135,8 +135,7 @@
   /// @brief Tells whether the VM should get new connections.
   /// @return True if it is configured, knows servers and does not stop.
   [[nodiscard]] bool IsReady() const noexcept {
-    return !stopping_ && routes_->Version() > 0 &&
-           !registry_.Servers().empty();
+    return !stopping_ && routes_->Version() > 0 && !registry_.Servers().empty();
   }
 
   /// @brief Takes over a VM of the fleet and introduces this one to it.
@@ -173,9 +172,9 @@
     std::string service;
     core::Time arrived{};
     core::Time deadline{};
-    std::uint32_t asks = 0;      ///< Slots asked for.
-    int arrivals = 0;            ///< Sends that may have reached a server.
-    int runs = 0;                ///< Sends that a server may have run.
+    std::uint32_t asks = 0;           ///< Slots asked for.
+    int arrivals = 0;                 ///< Sends that may have reached a server.
+    int runs = 0;                     ///< Sends that a server may have run.
     std::optional<core::VmId> asked;  ///< Dispatcher that has yet to reply.
     core::Time asked_until{};
     std::optional<Send> send;         ///< Send in flight.
@@ -212,8 +211,7 @@
                                                 const std::string& service,
                                                 double burst) const;
   [[nodiscard]] bool Count(bool alone, bool repeat, const std::string& service);
-  [[nodiscard]] bool MaySendAgain(const Request& request,
-                                  core::Time now) const;
+  [[nodiscard]] bool MaySendAgain(const Request& request, core::Time now) const;
   void Deliver(core::Handle handle, core::HttpAnswer answer, core::Time now);
   void Refuse(core::Handle handle, core::ErrorKind kind, core::Time now);
   void Answer(core::CallerId caller, core::HttpAnswer answer);
--- a/src/bambootack/gateway/gateway_sends.cc
+++ b/src/bambootack/gateway/gateway_sends.cc
@@ -67,19 +67,19 @@
   if (dispatcher == options_.vm) {
     const bool allowed = Count(false, request.arrivals > 0, request.service);
     UseSlot(handle,
-            allowed ? pool_.Acquire(NeedOf(request, now), options_.vm, now,
-                                    random_)
-                    : std::nullopt,
+            allowed
+                ? pool_.Acquire(NeedOf(request, now), options_.vm, now, random_)
+                : std::nullopt,
             options_.vm, now);
     return;
   }
   request.asked = dispatcher;
   request.asked_until = now + kSlotWait;
   SetDue(handle, request);
-  actions_.emplace_back(
-      TellPeer{dispatcher, SlotRequest{{handle, request.asks},
-                                       request.arrivals > 0,
-                                       NeedOf(request, now)}});
+  actions_.emplace_back(TellPeer{
+      dispatcher,
+      SlotRequest{
+          {handle, request.asks}, request.arrivals > 0, NeedOf(request, now)}});
 }
 
 void Gateway::ChooseAlone(core::Handle handle, core::Time now) {
@@ -87,9 +87,9 @@
   request.asked.reset();
   const bool allowed = Count(true, request.arrivals > 0, request.service);
   UseSlot(handle,
-          allowed ? pool_.Acquire(NeedOf(request, now), options_.vm, now,
-                                  random_)
-                  : std::nullopt,
+          allowed
+              ? pool_.Acquire(NeedOf(request, now), options_.vm, now, random_)
+              : std::nullopt,
           options_.vm, now);
 }
 
@@ -105,10 +105,9 @@
 
 /// Counts a send. Returns false for a repeat that exceeds the budget.
 bool Gateway::Count(bool alone, bool repeat, const std::string& service) {
-  const double burst =
-      alone ? options_.repeat_burst * kAlonePart /
-                  static_cast<double>(broker_.Size())
-            : options_.repeat_burst * kFleetPart;
+  const double burst = alone ? options_.repeat_burst * kAlonePart /
+                                   static_cast<double>(broker_.Size())
+                             : options_.repeat_burst * kFleetPart;
   dispatch::RetryBudget& budget =
       BudgetOf(alone ? alone_budgets_ : fleet_budgets_, service, burst);
   if (repeat) {
@@ -156,18 +155,16 @@
                   request.id, slot.server, slot.address, request.asks,
                   static_cast<std::uint32_t>(granter),
                   core::ToMilliseconds(left)));
-  actions_.emplace_back(
-      StartSend{number, slot.address,
-                ToServerRequest(options_.dialect, request.http, slot.server,
-                                left),
-                left});
+  actions_.emplace_back(StartSend{
+      number, slot.address,
+      ToServerRequest(options_.dialect, request.http, slot.server, left),
+      left});
   by_send_[number] = handle;
   request.send = Send{number, std::move(slot), granter};
   ++request.arrivals;
   ++request.runs;
   request.impatient_at = request.deadline;
-  if (request.route->repeatable &&
-      request.runs < request.route->max_attempts) {
+  if (request.route->repeatable && request.runs < request.route->max_attempts) {
     const auto usual = pool_.UsualTime(request.route->id);
     const core::Duration wait =
         std::max(kLeastImpatience,
@@ -254,8 +251,8 @@
 
 bool Gateway::MaySendAgain(const Request& request, core::Time now) const {
   const bool proven_unrun = request.runs == 0;
-  const bool attempts_left = request.route->repeatable &&
-                             request.runs < request.route->max_attempts;
+  const bool attempts_left =
+      request.route->repeatable && request.runs < request.route->max_attempts;
   return (proven_unrun || attempts_left) && request.asks < kMaxAsks &&
          now < request.deadline;
 }
@@ -347,8 +344,8 @@
   if (broker_.Add(std::move(member))) {
     actions_.emplace_back(SetMembers{broker_.Others()});
     actions_.emplace_back(TellPeer{
-        vm, MemberNotice{options_.peer_address, options_.failure_domain,
-                         false}});
+        vm,
+        MemberNotice{options_.peer_address, options_.failure_domain, false}});
   }
 }
 
@@ -356,14 +353,13 @@
   stopping_ = true;
   for (const membership::Member& it : broker_.Others()) {
     actions_.emplace_back(TellPeer{
-        it.vm, MemberNotice{options_.peer_address, options_.failure_domain,
-                            true}});
+        it.vm,
+        MemberNotice{options_.peer_address, options_.failure_domain, true}});
   }
 }
 
 void Gateway::On(core::VmId from, StateUpdate& message, core::Time now) {
-  const std::vector<ServerChange> changes =
-      spread_.Receive(from, message, now);
+  const std::vector<ServerChange> changes = spread_.Receive(from, message, now);
   if (message.config) {
     Configure(*std::move(message.config), now);
   }
--- a/src/bambootack/gateway/model.h
+++ b/src/bambootack/gateway/model.h
@@ -20,8 +20,8 @@
   int slots = 1;  ///< Requests that it runs at the same time.
   bool draining = false;
   core::Duration warmup_left{};  ///< How much longer it is slow after a start.
-  std::int64_t started = 0;   ///< Unix milliseconds; tells its starts apart.
-  std::int64_t sequence = 0;  ///< Counts its reports since that start.
+  std::int64_t started = 0;      ///< Unix milliseconds; tells its starts apart.
+  std::int64_t sequence = 0;     ///< Counts its reports since that start.
 
   friend bool operator==(const ServerRecord&, const ServerRecord&) = default;
 };
--- a/src/bambootack/gateway/refusal.cc
+++ b/src/bambootack/gateway/refusal.cc
@@ -21,11 +21,11 @@
 
 core::HttpAnswer RefusalAnswer(core::ErrorKind kind, core::Duration left,
                                bool not_run) {
-  core::HttpAnswer answer = node::ToHttp(
-      not_run ? node::Refusal(kind) : node::Unproven(kind));
-  const core::Duration wait =
-      left.count() > 0 ? std::min(kRetryAfter, left / kLeftDivisor)
-                       : kRetryAfter;
+  core::HttpAnswer answer =
+      node::ToHttp(not_run ? node::Refusal(kind) : node::Unproven(kind));
+  const core::Duration wait = left.count() > 0
+                                  ? std::min(kRetryAfter, left / kLeftDivisor)
+                                  : kRetryAfter;
   for (core::HeaderField& it : answer.headers) {
     if (it.name == "Retry-After") {
       it.value = fmt::format(
--- a/src/bambootack/gateway/server_pool.cc
+++ b/src/bambootack/gateway/server_pool.cc
@@ -48,7 +48,7 @@
 constexpr double kColdLoad = 0.34;
 
 constexpr int kTrustedTier = 0;
-constexpr int kTrialTier = -1;    // Repeatable requests serve as trials.
+constexpr int kTrialTier = -1;  // Repeatable requests serve as trials.
 constexpr int kLastResortTier = 2;
 
 }  // namespace
@@ -80,8 +80,8 @@
   double busy = row.in_flight;
   if (now - row.load_at < kLoadLife) {
     // The report still counts the request that it came with.
-    busy = std::max(busy, static_cast<double>(row.load.running +
-                                              row.load.waiting - 1));
+    busy = std::max(
+        busy, static_cast<double>(row.load.running + row.load.waiting - 1));
   }
   const double cold = now < row.warm_at ? kColdLoad : 0.0;
   return busy / row.slots + cold;
@@ -100,10 +100,10 @@
 /// Requests that may be at the server before one more would wait too long.
 double ServerPool::QueueLimit(const Row& row, const SlotNeed& need) const {
   const auto usual = UsualTime(need.route).value_or(kUsualTimeGuess);
-  const double turns =
-      usual.count() > 0 ? static_cast<double>(need.patience.count()) /
-                              static_cast<double>(usual.count())
-                        : 0.0;
+  const double turns = usual.count() > 0
+                           ? static_cast<double>(need.patience.count()) /
+                                 static_cast<double>(usual.count())
+                           : 0.0;
   return row.slots * (1.0 + std::max(0.0, turns));
 }
 
@@ -262,8 +262,10 @@
 void ServerPool::Learn(const Lease& lease, core::Time now) {
   const auto [it, first] = usual_.try_emplace(lease.route, now - lease.start);
   if (!first) {
-    const auto delta = static_cast<double>((now - lease.start - it->second).count());
-    it->second += core::Duration(static_cast<std::int64_t>(delta * kUsualTimeGain));
+    const auto delta =
+        static_cast<double>((now - lease.start - it->second).count());
+    it->second +=
+        core::Duration(static_cast<std::int64_t>(delta * kUsualTimeGain));
   }
 }
 
@@ -272,7 +274,8 @@
 }
 
 void ServerPool::Expire(core::Time now) {
-  while (!leases_.empty() && leases_.begin()->second.start + kLeaseLife <= now) {
+  while (!leases_.empty() &&
+         leases_.begin()->second.start + kLeaseLife <= now) {
     Release(leases_.begin()->first, SendEnd::kCancelled, std::nullopt, now);
   }
 }
--- a/src/bambootack/gateway/server_pool.h
+++ b/src/bambootack/gateway/server_pool.h
@@ -26,7 +26,7 @@
   std::string route;
   bool repeatable = false;
   int priority = 0;
-  core::Duration patience{};  ///< Longest useful wait in a server's queue.
+  core::Duration patience{};   ///< Longest useful wait in a server's queue.
   std::string failure_domain;  ///< Preferred among equals.
   std::vector<std::string> excluded;  ///< Servers that the asker cannot use.
 };
@@ -119,12 +119,12 @@
     bool draining = false;
     core::Time warm_at{};
     int in_flight = 0;
-    int trials = 0;             ///< Repeatable requests in flight on trial.
-    int good_needed = 0;        ///< Successes until the server is trusted.
-    int failures = 0;           ///< In a row.
-    core::Time rest_until{};    ///< End of the pause after a failure.
-    core::Time full_until{};    ///< End of the pause after a refusal.
-    ServerLoad load;            ///< As last reported.
+    int trials = 0;           ///< Repeatable requests in flight on trial.
+    int good_needed = 0;      ///< Successes until the server is trusted.
+    int failures = 0;         ///< In a row.
+    core::Time rest_until{};  ///< End of the pause after a failure.
+    core::Time full_until{};  ///< End of the pause after a refusal.
+    ServerLoad load;          ///< As last reported.
     core::Time load_at{};
     core::VmId unreachable_from = core::kNoVm;  ///< Last VM without a path.
     core::Time unreachable_at{};
--- a/src/bambootack/gateway/server_registry.cc
+++ b/src/bambootack/gateway/server_registry.cc
@@ -24,17 +24,17 @@
   if (newest.offset && offset <= *newest.offset) {
     return false;
   }
-  const bool older = record.started < newest.started ||
-                     (record.started == newest.started &&
-                      record.sequence < newest.sequence);
+  const bool older =
+      record.started < newest.started ||
+      (record.started == newest.started && record.sequence < newest.sequence);
   if (older) {
     return false;
   }
   newest = {record.started, record.sequence, offset, false, offset};
   DropFormerHolder(record, offset);
   const auto found = servers_.find(record.id);
-  const bool changed = found == servers_.end() ||
-                       !SameButSequence(found->second.record, record);
+  const bool changed =
+      found == servers_.end() || !SameButSequence(found->second.record, record);
   Registration& it = servers_[record.id];
   it.warm_at = now + record.warmup_left;
   it.remove_at.reset();
--- a/src/bambootack/gateway/server_registry.h
+++ b/src/bambootack/gateway/server_registry.h
@@ -16,7 +16,7 @@
 /// @brief A change of one server, for other VMs.
 struct ServerChange {
   ServerRecord record;
-  bool gone = false;  ///< Only the id of `record` counts.
+  bool gone = false;         ///< Only the id of `record` counts.
   std::uint64_t offset = 0;  ///< Place in the store.
 
   friend bool operator==(const ServerChange&, const ServerChange&) = default;
@@ -26,7 +26,7 @@
 struct Registration {
   ServerRecord record;
   std::uint64_t offset = 0;  ///< Place in the store of its last change.
-  core::Time warm_at{};  ///< When its warm-up ends.
+  core::Time warm_at{};      ///< When its warm-up ends.
   /// Set while a removal waits: the entry may only have lapsed because the
   /// store was away.
   std::optional<core::Time> remove_at;
--- a/src/bambootack/gateway/settings.cc
+++ b/src/bambootack/gateway/settings.cc
@@ -26,8 +26,8 @@
   result.store_address = Address(reader, "store_address");
   result.platform_bounds = reader.String("platform_bounds", "");
   result.first_start = reader.Boolean("first_start", false);
-  result.log_level = reader.Enum("log_level", settings::kLogLevelNames,
-                                 &result.log_level);
+  result.log_level =
+      reader.Enum("log_level", settings::kLogLevelNames, &result.log_level);
   result.stop_grace =
       reader.Milliseconds("stop_grace_ms", 0, kMaxStopMs, result.stop_grace);
   result.stop_limit =
--- a/src/bambootack/gateway/state_spread.h
+++ b/src/bambootack/gateway/state_spread.h
@@ -114,8 +114,8 @@
   std::optional<core::Time> confirmed_;
   core::Time patience_until_{};
   std::optional<GatewayConfig> config_;
-  std::uint64_t announced_ = 0;  ///< Position at the last announcement.
-  core::Time ask_at_{};          ///< Earliest time of the next question.
+  std::uint64_t announced_ = 0;       ///< Position at the last announcement.
+  core::Time ask_at_{};               ///< Earliest time of the next question.
   std::uint64_t heard_position_ = 0;  ///< Highest position of any VM.
   std::uint64_t heard_version_ = 0;   ///< Highest version of any VM.
   std::optional<core::Time> behind_since_;
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -69,7 +69,8 @@
   return options;
 }
 
-std::optional<bambootack::gateway::GatewaySettings> Load(const std::string& path) {
+std::optional<bambootack::gateway::GatewaySettings> Load(
+    const std::string& path) {
   namespace leaf = boost::leaf;
   using bambootack::gateway::GatewaySettings;
   std::ifstream in(path);
@@ -80,7 +81,8 @@
   const std::string text{std::istreambuf_iterator<char>(in), {}};
   return leaf::try_handle_all(
       [&]() -> leaf::result<std::optional<GatewaySettings>> {
-        BOOST_LEAF_AUTO(settings, bambootack::gateway::ParseSettings(text, path));
+        BOOST_LEAF_AUTO(settings,
+                        bambootack::gateway::ParseSettings(text, path));
         return std::optional<GatewaySettings>(std::move(settings));
       },
       [](const bambootack::core::Error& error) {
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -67,8 +67,7 @@
       return core::kNoVm;
     }
     const auto& rejection = std::get<daemon::FrameRejection>(opened);
-    return rejection.hello ||
-                   rejection.fault == wire::FrameFault::kWrongSession
+    return rejection.hello || rejection.fault == wire::FrameFault::kWrongSession
                ? rejection.sender
                : core::kNoVm;
   }
@@ -93,8 +92,8 @@
 };
 
 Peers::Peers(PeerIdentity identity, OnMessage on_message)
-    : impl_(std::make_unique<Impl>(std::move(identity),
-                                   std::move(on_message))) {}
+    : impl_(
+          std::make_unique<Impl>(std::move(identity), std::move(on_message))) {}
 
 Peers::~Peers() = default;
 
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -115,29 +115,30 @@
         timer_(control_),
         signals_(control_, SIGTERM, SIGINT, SIGHUP),
         client_(kMaxAnswerBytes),
-        operators_({.address = settings_.operator_address,
-                    .context = &control_},
-                   [this](core::CallerId caller, core::HttpRequest http) {
-                     Report(operators_, caller, http);
-                   },
-                   {}),
-        callers_({.address = settings_.caller_address,
-                  .max_body_bytes = kMaxBodyBytes,
-                  .read_timeout_ms = kCallerReadTimeoutMs,
-                  .context = &control_},
-                 [this](core::CallerId caller, core::HttpRequest http) {
-                   asio::post(control_, [this, caller,
-                                         http = std::move(http)]() mutable {
-                     gateway_.Accept(caller, std::move(http), Now());
-                     Settle();
-                   });
-                 },
-                 [this](core::CallerId caller) {
-                   asio::post(control_, [this, caller] {
-                     gateway_.Drop(caller, Now());
-                     Settle();
-                   });
-                 }) {}
+        operators_(
+            {.address = settings_.operator_address, .context = &control_},
+            [this](core::CallerId caller, core::HttpRequest http) {
+              Report(operators_, caller, http);
+            },
+            {}),
+        callers_(
+            {.address = settings_.caller_address,
+             .max_body_bytes = kMaxBodyBytes,
+             .read_timeout_ms = kCallerReadTimeoutMs,
+             .context = &control_},
+            [this](core::CallerId caller, core::HttpRequest http) {
+              asio::post(control_,
+                         [this, caller, http = std::move(http)]() mutable {
+                           gateway_.Accept(caller, std::move(http), Now());
+                           Settle();
+                         });
+            },
+            [this](core::CallerId caller) {
+              asio::post(control_, [this, caller] {
+                gateway_.Drop(caller, Now());
+                Settle();
+              });
+            }) {}
 
   int Run() {
     log_.Add({log::EventId::kStarted,
@@ -189,10 +190,10 @@
     const core::Time now = Now();
     gateway_.Tick(now);
     for (platform::StoreReader::Call& it : store_.Next(now)) {
-      CallStore(std::move(it.call), [this, topic = it.topic](
-                                        const StoreAnswer& answer) {
-        store_.Take(topic, answer, Now(), random_);
-      });
+      CallStore(std::move(it.call),
+                [this, topic = it.topic](const StoreAnswer& answer) {
+                  store_.Take(topic, answer, Now(), random_);
+                });
     }
     if (auto call = join_.Next(now)) {
       CallStore(*std::move(call), [this](const StoreAnswer& answer) {
@@ -205,11 +206,11 @@
     }
     if (!announced_ready_ && gateway_.IsReady()) {
       announced_ready_ = true;
-      log_.Add({log::EventId::kReady,
-                fmt::format("version={} servers={}",
-                            gateway_.Routes().Version(),
-                            gateway_.Registry().Servers().size())},
-               now);
+      log_.Add(
+          {log::EventId::kReady,
+           fmt::format("version={} servers={}", gateway_.Routes().Version(),
+                       gateway_.Registry().Servers().size())},
+          now);
     }
     log_.Flush();
     EndStopWhenIdle(now);
@@ -270,15 +271,15 @@
     client_.Start(
         ++last_store_call_, std::move(http),
         [this, on_answer](net::HttpCallResult result) {
-          asio::post(control_, [this, on_answer,
-                                result = std::move(result)]() mutable {
-            StoreAnswer answer;
-            if (result.end == node::AttemptEnd::kAnswered) {
-              answer = std::move(result.answer);
-            }
-            on_answer(answer);
-            Settle();
-          });
+          asio::post(control_,
+                     [this, on_answer, result = std::move(result)]() mutable {
+                       StoreAnswer answer;
+                       if (result.end == node::AttemptEnd::kAnswered) {
+                         answer = std::move(result.answer);
+                       }
+                       on_answer(answer);
+                       Settle();
+                     });
         });
   }
 
@@ -286,15 +287,15 @@
   void FollowJoin() {
     if (!peers_ && join_.StartNumber()) {
       peers_.emplace(
-          PeerIdentity{NumberOf(settings_.peer_address),
-                       settings_.peer_address, join_.Key(),
+          PeerIdentity{NumberOf(settings_.peer_address), settings_.peer_address,
+                       join_.Key(),
                        core::Incarnation{*join_.StartNumber() + 1}},
           [this](core::VmId from, gateway::PeerMessage message) {
-            asio::post(control_, [this, from,
-                                  message = std::move(message)]() mutable {
-              gateway_.Receive(from, std::move(message), Now());
-              Settle();
-            });
+            asio::post(control_,
+                       [this, from, message = std::move(message)]() mutable {
+                         gateway_.Receive(from, std::move(message), Now());
+                         Settle();
+                       });
           });
     }
     for (const auto& [address, it] : join_.Members()) {
@@ -318,15 +319,14 @@
     call.connect_timeout = kConnectTimeout;
     call.fresh_connection = true;
     call.accept_unframed = true;
-    client_.Start(send, std::move(call),
-                  [this, send](net::HttpCallResult result) {
-                    asio::post(control_, [this, send,
-                                          result = std::move(result)]() mutable {
-                      gateway_.Finish(send, result.end,
-                                      std::move(result.answer), Now());
-                      Settle();
-                    });
-                  });
+    client_.Start(
+        send, std::move(call), [this, send](net::HttpCallResult result) {
+          asio::post(control_, [this, send,
+                                result = std::move(result)]() mutable {
+            gateway_.Finish(send, result.end, std::move(result.answer), Now());
+            Settle();
+          });
+        });
   }
 
   void Do(const gateway::CancelSend& action, core::Time /*now*/) {
@@ -353,13 +353,13 @@
               const core::HttpRequest& http) {
     const std::string_view path = core::PathOf(http.target);
     if (path == "/ready") {
-      server.Answer(caller, gateway_.IsReady()
-                                ? node::TextAnswer(200, "ready\n")
-                                : node::OperatorError(
-                                      core::ErrorKind::kNotReady, ""));
+      server.Answer(caller,
+                    gateway_.IsReady()
+                        ? node::TextAnswer(200, "ready\n")
+                        : node::OperatorError(core::ErrorKind::kNotReady, ""));
     } else {
-      server.Answer(caller, node::OperatorError(
-                                core::ErrorKind::kUnknownCommand, path));
+      server.Answer(
+          caller, node::OperatorError(core::ErrorKind::kUnknownCommand, path));
     }
   }
 
--- /dev/null
+++ b/test/bambootack/gateway/dialect_test.cc
@@ -0,0 +1,121 @@
+#include "bambootack/gateway/dialect.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+namespace core = bambootack::core;
+namespace gateway = bambootack::gateway;
+using gateway::SendEnd;
+
+namespace {
+
+gateway::Dialect Names() {
+  return {"Request-Id", "Time-Left-Ms", "Only-Server",
+          "Signature",  "Not-Run",      "Load"};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(dialect)
+
+// Guards against answers that are passed on though they are no proof of
+// anything, and against the opposite.
+BOOST_AUTO_TEST_CASE(answers_are_classified) {
+  struct Case {
+    std::string name;
+    int status;
+    core::Headers headers;
+    SendEnd end;
+  };
+  const std::vector<Case> cases{
+      {"whole",
+       200,
+       {{"Request-Id", "7"}, {"Signature", "x"}},
+       SendEnd::kServed},
+      {"no signature", 200, {{"Request-Id", "7"}}, SendEnd::kInvalid},
+      {"no id", 200, {{"Signature", "x"}}, SendEnd::kInvalid},
+      {"answer to another request",
+       200,
+       {{"Request-Id", "8"}, {"Signature", "x"}},
+       SendEnd::kInvalid},
+      {"encoded body",
+       200,
+       {{"Request-Id", "7"}, {"Signature", "x"}, {"Content-Encoding", "gzip"}},
+       SendEnd::kInvalid},
+      {"own error",
+       500,
+       {{"Request-Id", "7"}, {"Signature", "x"}},
+       SendEnd::kServerError},
+      {"refused", 503, {{"Not-Run", "1"}}, SendEnd::kNotRun},
+      {"refusal of another answer",
+       503,
+       {{"Request-Id", "8"}, {"Not-Run", "1"}},
+       SendEnd::kInvalid},
+      {"503 without a promise",
+       503,
+       {{"Request-Id", "7"}},
+       SendEnd::kServerError},
+      {"429 without a promise",
+       429,
+       {{"Request-Id", "7"}},
+       SendEnd::kServerError},
+      {"another server", 421, {}, SendEnd::kWrongServer},
+      {"not found",
+       404,
+       {{"Request-Id", "7"}, {"Signature", "x"}},
+       SendEnd::kServed},
+  };
+  for (const Case& it : cases) {
+    core::HttpAnswer answer;
+    answer.status = it.status;
+    answer.headers = it.headers;
+    const SendEnd end = gateway::Classify(Names(), "7", answer);
+    BOOST_TEST(
+        gateway::kSendEndNames.Name(end) == gateway::kSendEndNames.Name(it.end),
+        it.name);
+  }
+}
+
+// Guards against a caller that chooses the server, and against servers that get
+// more time than is left.
+BOOST_AUTO_TEST_CASE(fields_of_the_gateway_replace_those_of_the_caller) {
+  core::HttpRequest request{"POST",
+                            "/visits/1?x=2",
+                            {{"Host", "a.example"},
+                             {"Request-Id", "7"},
+                             {"Time-Left-Ms", "900"},
+                             {"Only-Server", "mine"},
+                             {"Connection", "X-Hop"},
+                             {"X-Hop", "1"},
+                             {"X-Kept", "2"}},
+                            "body"};
+  const core::HttpRequest sent = gateway::ToServerRequest(
+      Names(), request, "s1", std::chrono::milliseconds(450));
+  BOOST_TEST(sent.method == "POST");
+  BOOST_TEST(sent.target == "/visits/1?x=2");
+  BOOST_TEST(sent.body == "body");
+  BOOST_TEST(*core::FindHeader(sent.headers, "Time-Left-Ms") == "450");
+  BOOST_TEST(*core::FindHeader(sent.headers, "Only-Server") == "s1");
+  BOOST_TEST(*core::FindHeader(sent.headers, "Request-Id") == "7");
+  BOOST_TEST(*core::FindHeader(sent.headers, "Host") == "a.example");
+  BOOST_TEST(core::FindHeader(sent.headers, "X-Kept").has_value());
+  BOOST_TEST(!core::FindHeader(sent.headers, "X-Hop").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(malformed_numbers_are_no_values) {
+  for (const std::string text :
+       {"", "x", "-1", "1.5", "99999999999999999999"}) {
+    BOOST_TEST(!gateway::RemainingTime(Names(), {{"Time-Left-Ms", text}}),
+               text);
+  }
+  for (const std::string text : {"", "1", "1,2", "a,b,c", "-1,0,3"}) {
+    BOOST_TEST(!gateway::ReportedLoad(Names(), {{"Load", text}}), text);
+  }
+  const auto load = gateway::ReportedLoad(Names(), {{"Load", "3,1,8"}});
+  BOOST_TEST_REQUIRE(load.has_value());
+  BOOST_TEST(load->running == 3);
+  BOOST_TEST(load->waiting == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/bambootack/gateway/gateway_fixture.h
@@ -0,0 +1,142 @@
+#ifndef TEST_BAMBOOTACK_GATEWAY_GATEWAY_FIXTURE_H_
+#define TEST_BAMBOOTACK_GATEWAY_GATEWAY_FIXTURE_H_
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "bambootack/gateway/gateway.h"
+
+namespace bambootack::gateway {
+
+inline constexpr core::VmId kSelf{1};
+inline constexpr core::VmId kPeer{2};
+
+/// A gateway in virtual time with four servers of one service.
+struct GatewayFixture {
+  GatewayFixture() : gateway(Options(), 7) {
+    for (int i = 0; i < 4; ++i) {
+      ServerRecord record;
+      record.id = "s" + std::to_string(i);
+      record.service = "desk";
+      record.address = "10.0.0." + std::to_string(i + 1) + ":80";
+      record.failure_domain = "west";
+      record.slots = 2;
+      gateway.Registry().Apply(record, static_cast<std::uint64_t>(i), now);
+    }
+    gateway.Spread().NoteRead(4, now, now);
+  }
+
+  static GatewayOptions Options() {
+    GatewayOptions options;
+    options.vm = kSelf;
+    options.peer_address = "10.0.1.1:7000";
+    options.failure_domain = "west";
+    options.dialect = {"Request-Id", "Time-Left-Ms", "Only-Server",
+                       "Signature",  "Not-Run",      "Load"};
+    options.repeat_share = 0.2;
+    options.repeat_burst = 80.0;
+    return options;
+  }
+
+  void Configure(std::uint64_t version = 1) {
+    GatewayConfig config;
+    config.version = version;
+    config.services = {"desk"};
+    config.routes = {Route("book", "/book/", false),
+                     Route("read", "/read/", true)};
+    gateway.Configure(config, now);
+    gateway.FollowRegistry(now);
+    static_cast<void>(gateway.TakeActions());
+  }
+
+  static GatewayRoute Route(std::string id, std::string prefix,
+                            bool repeatable) {
+    GatewayRoute route;
+    route.id = std::move(id);
+    route.host = "a.example";
+    route.path_prefix = std::move(prefix);
+    route.repeatable = repeatable;
+    route.timeout = std::chrono::milliseconds(1500);
+    route.target = std::chrono::milliseconds(600);
+    route.max_attempts = 2;
+    route.parts = {{"desk", 1.0}};
+    return route;
+  }
+
+  /// The dispatcher of the service is the peer, whichever hash it has.
+  void AddPeers() {
+    for (std::uint32_t vm = 2; vm < 40; ++vm) {
+      gateway.Meet({core::VmId{vm}, {}, "10.0.1.2:7000", "east"});
+    }
+    static_cast<void>(gateway.TakeActions());
+  }
+
+  void Ask(std::uint64_t caller, const std::string& path,
+           const std::string& left_ms = "1200") {
+    core::HttpRequest http{"POST",
+                           path,
+                           {{"Host", "a.example"},
+                            {"Request-Id", std::to_string(caller)},
+                            {"Time-Left-Ms", left_ms}},
+                           "body"};
+    gateway.Accept(core::CallerId{caller}, std::move(http), now);
+    Collect();
+  }
+
+  void End(std::uint64_t send, node::AttemptEnd end) {
+    gateway.Finish(send, end, {}, now);
+    Collect();
+  }
+
+  void Answer(std::uint64_t send, int status, core::Headers headers) {
+    gateway.Finish(send, node::AttemptEnd::kAnswered,
+                   {status, std::move(headers), "answer"}, now);
+    Collect();
+  }
+
+  void Serve(std::uint64_t send, const std::string& id) {
+    Answer(send, 200, {{"Request-Id", id}, {"Signature", "x"}});
+  }
+
+  void Wait(core::Duration time) {
+    now += time;
+    gateway.Tick(now);
+    Collect();
+  }
+
+  void Collect() {
+    sends.clear();
+    answers.clear();
+    cancels.clear();
+    told.clear();
+    for (GatewayAction& it : gateway.TakeActions()) {
+      if (auto* send = std::get_if<StartSend>(&it)) {
+        sends.push_back(std::move(*send));
+      } else if (auto* answer = std::get_if<node::AnswerCaller>(&it)) {
+        answers.push_back(std::move(*answer));
+      } else if (auto* cancel = std::get_if<CancelSend>(&it)) {
+        cancels.push_back(cancel->send);
+      } else if (auto* tell = std::get_if<TellPeer>(&it)) {
+        told.push_back(std::move(*tell));
+      }
+    }
+  }
+
+  [[nodiscard]] int Status() const {
+    return answers.size() == 1 ? answers.front().http.status : 0;
+  }
+
+  core::Time now{core::Duration(1'000'000)};
+  Gateway gateway;
+  std::vector<StartSend> sends;
+  std::vector<node::AnswerCaller> answers;
+  std::vector<std::uint64_t> cancels;
+  std::vector<TellPeer> told;
+};
+
+}  // namespace bambootack::gateway
+
+#endif  // TEST_BAMBOOTACK_GATEWAY_GATEWAY_FIXTURE_H_
--- /dev/null
+++ b/test/bambootack/gateway/gateway_test.cc
@@ -0,0 +1,246 @@
+#include "bambootack/gateway/gateway.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+#include <string>
+
+#include "bambootack/gateway/gateway_fixture.h"
+
+namespace bambootack::gateway {
+
+using node::AttemptEnd;
+using std::chrono::milliseconds;
+
+BOOST_FIXTURE_TEST_SUITE(gateway_requests, GatewayFixture)
+
+BOOST_AUTO_TEST_CASE(a_served_request_is_passed_on_whole) {
+  Configure();
+  Ask(1, "/book/1");
+  BOOST_TEST_REQUIRE(sends.size() == 1U);
+  BOOST_TEST(core::FindHeader(sends[0].http.headers, "Only-Server")
+                 .value()
+                 .starts_with("s"));
+  Serve(sends[0].send, "1");
+  BOOST_TEST(Status() == 200);
+  BOOST_TEST(answers[0].http.body == "answer");
+  BOOST_TEST(gateway.InFlight() == 0U);
+}
+
+// Guards against a booking that runs twice, and against a false "not run".
+BOOST_AUTO_TEST_CASE(a_booking_that_may_have_run_is_not_sent_again) {
+  Configure();
+  for (const AttemptEnd end :
+       {AttemptEnd::kLost, AttemptEnd::kInvalid, AttemptEnd::kTimedOut}) {
+    Ask(1, "/book/1");
+    BOOST_TEST_REQUIRE(sends.size() == 1U);
+    End(sends[0].send, end);
+    BOOST_TEST(sends.empty());
+    BOOST_TEST(Status() >= 500);
+    BOOST_TEST(!PromisesNotRun(Status()));
+  }
+}
+
+// Guards against bookings that are lost though no server can have run them.
+BOOST_AUTO_TEST_CASE(a_booking_that_has_not_run_goes_to_another_server) {
+  Configure();
+  Ask(1, "/book/1");
+  std::set<std::string> used{sends[0].address};
+  End(sends[0].send, AttemptEnd::kNotConnected);
+  BOOST_TEST_REQUIRE(sends.size() == 1U);
+  used.insert(sends[0].address);
+  Answer(sends[0].send, 503, {{"Not-Run", "1"}});
+  BOOST_TEST_REQUIRE(sends.size() == 1U);
+  used.insert(sends[0].address);
+  Answer(sends[0].send, 421, {});
+  BOOST_TEST_REQUIRE(sends.size() == 1U);
+  used.insert(sends[0].address);
+  BOOST_TEST(used.size() == 4U);
+  Answer(sends[0].send, 503, {{"Not-Run", "1"}});
+  BOOST_TEST(Status() == 503);
+  BOOST_TEST(
+      core::FindHeader(answers[0].http.headers, "Retry-After").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_read_is_repeated_up_to_its_attempts) {
+  Configure();
+  Ask(1, "/read/1");
+  const std::string first = sends[0].address;
+  End(sends[0].send, AttemptEnd::kLost);
+  BOOST_TEST_REQUIRE(sends.size() == 1U);
+  BOOST_TEST(sends[0].address != first);
+  End(sends[0].send, AttemptEnd::kLost);
+  BOOST_TEST(sends.empty());
+  BOOST_TEST(Status() == 502);
+}
+
+// Guards against a promise of a server that did not make it: callers would send
+// the booking again.
+BOOST_AUTO_TEST_CASE(a_status_that_promises_too_much_is_replaced) {
+  Configure();
+  for (const int status : {408, 429, 503}) {
+    Ask(1, "/book/1");
+    Answer(sends[0].send, status, {{"Request-Id", "1"}, {"Signature", "x"}});
+    BOOST_TEST(Status() == 502);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_servers_own_error_is_passed_on) {
+  Configure();
+  Ask(1, "/book/1");
+  Answer(sends[0].send, 500, {{"Request-Id", "1"}, {"Signature", "x"}});
+  BOOST_TEST(Status() == 500);
+  BOOST_TEST(answers[0].http.body == "answer");
+}
+
+// Guards against work that goes on for a caller that has left.
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_ends_its_send) {
+  Configure();
+  Ask(1, "/read/1");
+  const std::uint64_t send = sends[0].send;
+  gateway.Drop(core::CallerId{1}, now);
+  Collect();
+  BOOST_TEST_REQUIRE(cancels.size() == 1U);
+  BOOST_TEST(cancels[0] == send);
+  Serve(send, "1");
+  BOOST_TEST(answers.empty());
+}
+
+BOOST_AUTO_TEST_CASE(the_deadline_of_the_caller_and_of_the_route_hold) {
+  Configure();
+  Ask(1, "/book/1", "400");
+  Wait(milliseconds(399));
+  BOOST_TEST(answers.empty());
+  Wait(milliseconds(1));
+  BOOST_TEST(Status() == 504);
+  BOOST_TEST(cancels.size() == 1U);
+  Ask(2, "/book/1", "60000");
+  Wait(milliseconds(1500));
+  BOOST_TEST(Status() == 504);
+}
+
+BOOST_AUTO_TEST_CASE(requests_without_route_or_configuration_are_told_apart) {
+  Ask(1, "/book/1");
+  BOOST_TEST(Status() == 503);
+  Configure();
+  Ask(2, "/other/1");
+  BOOST_TEST(Status() == 404);
+}
+
+BOOST_AUTO_TEST_CASE(lower_versions_do_not_replace_higher_ones) {
+  Configure(5);
+  GatewayConfig old;
+  old.version = 4;
+  gateway.Configure(old, now);
+  BOOST_TEST(gateway.Routes().Version() == 5U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(gateway_dispatch, GatewayFixture)
+
+// Guards against requests that fail with their dispatcher.
+BOOST_AUTO_TEST_CASE(a_silent_dispatcher_costs_a_short_wait) {
+  Configure();
+  AddPeers();
+  Ask(1, "/book/1");
+  BOOST_TEST_REQUIRE(told.size() == 1U);
+  BOOST_TEST(sends.empty());
+  const core::VmId dispatcher = told[0].vm;
+  Wait(milliseconds(25));
+  BOOST_TEST(sends.size() == 1U);
+  // It is not asked again at once.
+  Ask(2, "/book/1");
+  BOOST_TEST((told.empty() || told[0].vm != dispatcher));
+}
+
+BOOST_AUTO_TEST_CASE(a_granted_slot_is_used_and_given_back) {
+  Configure();
+  AddPeers();
+  Ask(1, "/book/1");
+  const auto& ask = std::get<SlotRequest>(told[0].message);
+  const core::VmId dispatcher = told[0].vm;
+  gateway.Receive(dispatcher, SlotReply{ask.key, Slot{77, "s2", "10.0.0.3:80"}},
+                  now);
+  Collect();
+  BOOST_TEST_REQUIRE(sends.size() == 1U);
+  BOOST_TEST(sends[0].address == "10.0.0.3:80");
+  End(sends[0].send, AttemptEnd::kLost);
+  BOOST_TEST_REQUIRE(told.size() == 1U);
+  const auto& release = std::get<SlotRelease>(told[0].message);
+  BOOST_TEST(release.lease == 77U);
+  BOOST_TEST((release.end == SendEnd::kLost));
+}
+
+// Guards against two servers for one booking when the reply comes late.
+BOOST_AUTO_TEST_CASE(a_late_grant_is_given_back_unused) {
+  Configure();
+  AddPeers();
+  Ask(1, "/book/1");
+  const auto ask = std::get<SlotRequest>(told[0].message);
+  const core::VmId dispatcher = told[0].vm;
+  Wait(milliseconds(25));
+  BOOST_TEST(sends.size() == 1U);
+  gateway.Receive(dispatcher, SlotReply{ask.key, Slot{77, "s2", "10.0.0.3:80"}},
+                  now);
+  Collect();
+  BOOST_TEST(sends.empty());
+  BOOST_TEST_REQUIRE(told.size() == 1U);
+  BOOST_TEST(
+      (std::get<SlotRelease>(told[0].message).end == SendEnd::kCancelled));
+}
+
+// Found on a day with VMs that were cut off from the store: a dispatcher that
+// did not know of a drain granted the draining server to a VM that did.
+BOOST_AUTO_TEST_CASE(a_grant_of_a_draining_server_is_not_used) {
+  Configure();
+  AddPeers();
+  ServerRecord record = gateway.Registry().Servers().at("s2").record;
+  record.draining = true;
+  record.sequence = 9;
+  gateway.Registry().Apply(record, 20, now);
+  gateway.FollowRegistry(now);
+  Ask(1, "/book/1");
+  const auto ask = std::get<SlotRequest>(told[0].message);
+  gateway.Receive(told[0].vm, SlotReply{ask.key, Slot{77, "s2", "10.0.0.3:80"}},
+                  now);
+  Collect();
+  BOOST_TEST_REQUIRE(sends.size() == 1U);
+  BOOST_TEST(sends[0].address != "10.0.0.3:80");
+}
+
+// Guards against a fleet that sends more repeats than its services allow while
+// its VMs cannot hear each other: each alone, and as many dispatchers as VMs
+// take over by turns.
+BOOST_AUTO_TEST_CASE(repeats_of_vms_alone_stay_within_the_budget_of_the_fleet) {
+  constexpr int kVms = 40;
+  constexpr int kReads = 60;
+  int repeats = 0;
+  for (int vm = 0; vm < kVms; ++vm) {
+    GatewayFixture alone;
+    alone.Configure();
+    alone.AddPeers();
+    for (int i = 0; i < kReads; ++i) {
+      const auto caller = static_cast<std::uint64_t>(i + 1);
+      alone.Ask(caller, "/read/1");
+      for (int tries = 0; tries < 3 && alone.answers.empty(); ++tries) {
+        while (alone.sends.empty() && alone.answers.empty()) {
+          alone.Wait(milliseconds(25));
+        }
+        if (!alone.sends.empty()) {
+          repeats += tries > 0 ? 1 : 0;
+          alone.End(alone.sends[0].send, AttemptEnd::kLost);
+        }
+      }
+      if (alone.gateway.InFlight() > 0) {
+        alone.gateway.Drop(core::CallerId{caller}, alone.now);
+      }
+    }
+  }
+  const double allowed = 0.2 * kVms * kReads + 80.0;
+  BOOST_TEST(repeats > 0);
+  BOOST_TEST(repeats <= allowed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace bambootack::gateway
--- /dev/null
+++ b/test/bambootack/gateway/server_pool_test.cc
@@ -0,0 +1,185 @@
+#include "bambootack/gateway/server_pool.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+#include <string>
+
+namespace core = bambootack::core;
+namespace gateway = bambootack::gateway;
+using gateway::SendEnd;
+using std::chrono::milliseconds;
+
+namespace {
+
+const core::VmId kHolder{1};
+
+struct Fixture {
+  Fixture() {
+    for (int i = 0; i < 4; ++i) {
+      gateway::ServerRecord record;
+      record.id = "s" + std::to_string(i);
+      record.service = "desk";
+      record.address = "10.0.0." + std::to_string(i + 1) + ":80";
+      record.failure_domain = i < 2 ? "west" : "east";
+      record.slots = 2;
+      registry.Apply(record, static_cast<std::uint64_t>(i), now);
+    }
+    pool.Follow(registry, now);
+    need.service = "desk";
+    need.route = "visits";
+    need.failure_domain = "west";
+    need.patience = milliseconds(100);
+  }
+
+  std::optional<gateway::Slot> Take() {
+    return pool.Acquire(need, kHolder, now, random);
+  }
+
+  /// Sends one request to each server and ends it well, so that the usual time
+  /// of the route is known.
+  void WarmUp() {
+    for (int i = 0; i < 4; ++i) {
+      const auto slot = Take();
+      now += milliseconds(20);
+      pool.Release(slot->lease, SendEnd::kServed, std::nullopt, now);
+    }
+  }
+
+  core::Time now{core::Duration(1'000'000)};
+  core::Random random{7};
+  gateway::ServerRegistry registry;
+  gateway::ServerPool pool;
+  gateway::SlotNeed need;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(server_pool, Fixture)
+
+// Guards against two requests in the queue of one server while another idles.
+BOOST_AUTO_TEST_CASE(free_slots_are_used_before_queues) {
+  WarmUp();
+  std::map<std::string, int> taken;
+  for (int i = 0; i < 8; ++i) {
+    ++taken[Take()->server];
+  }
+  BOOST_TEST(taken.size() == 4U);
+  for (const auto& [server, count] : taken) {
+    BOOST_TEST(count == 2, server);
+  }
+}
+
+// Guards against traffic between failure domains while the own one has room.
+BOOST_AUTO_TEST_CASE(equally_loaded_servers_of_the_own_domain_come_first) {
+  WarmUp();
+  BOOST_TEST((Take()->server <= "s1"));
+  BOOST_TEST((Take()->server <= "s1"));
+  BOOST_TEST((Take()->server >= "s2"));
+}
+
+// Guards against further losses at a server that resets its connections while
+// its health check passes.
+BOOST_AUTO_TEST_CASE(one_lost_connection_keeps_other_work_away) {
+  WarmUp();
+  const auto slot = Take();
+  pool.Release(slot->lease, SendEnd::kLost, std::nullopt, now);
+  for (int i = 0; i < 30; ++i) {
+    const auto other = Take();
+    BOOST_TEST_REQUIRE(other.has_value());
+    BOOST_TEST(other->server != slot->server);
+    pool.Release(other->lease, SendEnd::kServed, std::nullopt, now);
+  }
+  const auto changes = pool.TakeChanges();
+  BOOST_TEST_REQUIRE(changes.size() == 1U);
+  BOOST_TEST((changes.front().to == gateway::ServerTrust::kResting));
+}
+
+// Guards against bookings as trials: they are lost if the server still fails.
+BOOST_AUTO_TEST_CASE(trials_are_single_repeatable_requests) {
+  WarmUp();
+  const auto slot = Take();
+  pool.Release(slot->lease, SendEnd::kLost, std::nullopt, now);
+  now += milliseconds(900);
+  BOOST_TEST(Take()->server != slot->server);
+  need.repeatable = true;
+  const auto trial = Take();
+  BOOST_TEST(trial->server == slot->server);
+  BOOST_TEST(Take()->server != slot->server);
+  pool.Release(trial->lease, SendEnd::kServed, std::nullopt, now);
+  const auto second = Take();
+  BOOST_TEST(second->server == slot->server);
+  pool.Release(second->lease, SendEnd::kServed, std::nullopt, now);
+  const auto changes = pool.TakeChanges();
+  BOOST_TEST((changes.back().to == gateway::ServerTrust::kTrusted));
+}
+
+// Guards against the condemnation of a server for the path of one VM.
+BOOST_AUTO_TEST_CASE(one_vm_without_a_path_does_not_condemn_a_server) {
+  WarmUp();
+  const auto slot = Take();
+  pool.Release(slot->lease, SendEnd::kUnreachable, std::nullopt, now);
+  std::set<std::string> used;
+  for (int i = 0; i < 40; ++i) {
+    const auto other = Take();
+    used.insert(other->server);
+    pool.Release(other->lease, SendEnd::kServed, std::nullopt, now);
+  }
+  BOOST_TEST(used.contains(slot->server));
+}
+
+BOOST_AUTO_TEST_CASE(two_vms_without_a_path_condemn_it) {
+  WarmUp();
+  need.excluded = {"s1", "s2", "s3"};
+  const auto first = pool.Acquire(need, core::VmId{1}, now, random);
+  const auto second = pool.Acquire(need, core::VmId{2}, now, random);
+  pool.Release(first->lease, SendEnd::kUnreachable, std::nullopt, now);
+  pool.Release(second->lease, SendEnd::kUnreachable, std::nullopt, now);
+  need.excluded.clear();
+  for (int i = 0; i < 8; ++i) {
+    BOOST_TEST(Take()->server != "s0");
+  }
+}
+
+// Guards against work for a server that hangs: its requests show it long before
+// their deadlines.
+BOOST_AUTO_TEST_CASE(servers_with_overdue_requests_get_the_rest_last) {
+  WarmUp();
+  const auto stuck = Take();
+  now += milliseconds(600);
+  for (int i = 0; i < 6; ++i) {
+    BOOST_TEST(Take()->server != stuck->server);
+  }
+}
+
+// Guards against new work for a server that leaves.
+BOOST_AUTO_TEST_CASE(draining_servers_get_nothing) {
+  gateway::ServerRecord record = registry.Servers().at("s0").record;
+  record.draining = true;
+  record.sequence = 5;
+  registry.Apply(record, 9, now);
+  pool.Follow(registry, now);
+  for (int i = 0; i < 6; ++i) {
+    BOOST_TEST(Take()->server != "s0");
+  }
+}
+
+// Guards against queues in which a request waits longer than it can.
+BOOST_AUTO_TEST_CASE(requests_that_would_wait_too_long_get_no_slot) {
+  WarmUp();
+  need.patience = {};
+  for (int i = 0; i < 8; ++i) {
+    BOOST_TEST_REQUIRE(Take().has_value());
+  }
+  BOOST_TEST(!Take().has_value());
+}
+
+// Guards against slots that stay taken when the VM that held them is gone.
+BOOST_AUTO_TEST_CASE(leases_expire) {
+  BOOST_TEST(Take().has_value());
+  BOOST_TEST(pool.InFlight() == 1U);
+  now += std::chrono::seconds(15);
+  pool.Expire(now);
+  BOOST_TEST(pool.InFlight() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/platform/decode_test.cc
@@ -0,0 +1,113 @@
+#include "platform/decode.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+namespace platform = bambootack::platform;
+
+namespace {
+
+constexpr const char* kConfig = R"({"version":"r12",
+ "routes":{"columns":["name","host","pathPrefix","routeType","timeoutMs",
+   "targetLatencyMs","priority","service","maxAttempts","trafficSplit"],
+  "rows":[["book","a.example","/book/","non_idempotent",1500,600,1,"desk",2,null],
+   ["read","a.example","/read/","safe",1200,600,0,null,3,
+    [{"service":"desk","weight":90},{"service":"pay","weight":10}]]]},
+ "services":{"columns":["name","healthPath","maxConns","protocol","tls"],
+  "rows":[["desk","/health",477,"h1",false],["pay","/health",477,"h1",false]]},
+ "limits":{"maxHeaderBytes":16384},"unknown":[1,2]})";
+
+const std::string kServer =
+    R"({"service":"desk","address":"10.0.0.9:8080","zone":"west","version":"v1",)"
+    R"("slots":3,"state":"ready","warmupLeftMs":250,"seq":4,"born":1700000000000})";
+
+std::string Replace(std::string text, const std::string& from,
+                    const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(decode)
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_read_whole) {
+  const auto config = platform::DecodeConfig(kConfig);
+  BOOST_TEST_REQUIRE(config.has_value());
+  BOOST_TEST(config->version == 12U);
+  BOOST_TEST_REQUIRE(config->routes.size() == 2U);
+  const auto& book = config->routes[0];
+  BOOST_TEST(!book.repeatable);
+  BOOST_TEST(book.timeout.count() == 1'500'000);
+  BOOST_TEST(book.target.count() == 600'000);
+  BOOST_TEST(book.max_attempts == 2);
+  BOOST_TEST(book.parts.size() == 1U);
+  const auto& read = config->routes[1];
+  BOOST_TEST(read.repeatable);
+  BOOST_TEST(read.priority == 0);
+  BOOST_TEST_REQUIRE(read.parts.size() == 2U);
+  BOOST_TEST(read.parts[1].service == "pay");
+  BOOST_TEST(read.parts[1].weight == 10.0);
+  BOOST_TEST(config->services.size() == 2U);
+}
+
+// Guards against half of a version in force.
+BOOST_AUTO_TEST_CASE(a_configuration_with_an_unreadable_part_is_refused) {
+  const std::string text = kConfig;
+  const std::vector<std::string> broken{
+      "",
+      "[]",
+      "{",
+      Replace(text, "\"r12\"", "12"),
+      Replace(text, "\"r12\"", "\"x12\""),
+      Replace(text, "1500", "\"1500\""),
+      Replace(text, "1500", "-1"),
+      Replace(text, "\"/book/\"", "null"),
+      Replace(text, "\"weight\":10", "\"weight\":-10"),
+      Replace(text, "\"columns\"", "\"other\""),
+  };
+  for (const std::string& it : broken) {
+    BOOST_TEST(!platform::DecodeConfig(it).has_value(), it);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_server_is_read) {
+  const auto server = platform::DecodeServer("i-1", kServer);
+  BOOST_TEST_REQUIRE(server.has_value());
+  BOOST_TEST(server->id == "i-1");
+  BOOST_TEST(server->address == "10.0.0.9:8080");
+  BOOST_TEST(server->failure_domain == "west");
+  BOOST_TEST(server->slots == 3);
+  BOOST_TEST(!server->draining);
+  BOOST_TEST(server->warmup_left.count() == 250'000);
+  BOOST_TEST(server->sequence == 4);
+  BOOST_TEST(server->started == 1'700'000'000'000);
+}
+
+// Guards against entries of other writers that name a server to use.
+BOOST_AUTO_TEST_CASE(forged_entries_name_no_server) {
+  const std::vector<std::string> broken{
+      "",
+      "\xff\xfe",
+      "null",
+      "{}",
+      Replace(kServer, "\"ready\"", "\"busy\""),
+      Replace(kServer, "\"ready\"", "7"),
+      Replace(kServer, "\"10.0.0.9:8080\"", "\"10.0.0.9\""),
+      Replace(kServer, "\"10.0.0.9:8080\"", "\"host:80\""),
+      Replace(kServer, "\"10.0.0.9:8080\"", "\"10.0.0.9:0\""),
+      Replace(kServer, "\"10.0.0.9:8080\"", "\"10.0.0.9:99999\""),
+      Replace(kServer, "\"slots\":3", "\"slots\":\"3\""),
+      Replace(kServer, "\"slots\":3", "\"slots\":0"),
+      Replace(kServer, "\"seq\":4", "\"seq\":-4"),
+      Replace(kServer, "\"seq\":4", "\"seq\":1e300"),
+      Replace(kServer, "\"service\"", "\"servce\""),
+      Replace(kServer, "1700000000000", "\"now\""),
+      kServer.substr(0, 40),
+  };
+  for (const std::string& it : broken) {
+    BOOST_TEST(!platform::DecodeServer("i-1", it).has_value(), it);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/platform/fleet_join_test.cc
@@ -0,0 +1,93 @@
+#include "platform/fleet_join.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "platform/bounds.h"
+
+namespace core = bambootack::core;
+namespace platform = bambootack::platform;
+
+namespace {
+
+const std::string kKey(64, 'a');
+
+struct Fixture {
+  std::string Call() {
+    now += std::chrono::seconds(3);
+    const auto call = join.Next(now);
+    return call ? call->http.method + " " + call->http.target : "none";
+  }
+
+  void Answer(int status, const std::string& body) {
+    join.Take(core::HttpAnswer{status, {}, body}, now, random);
+  }
+
+  core::Time now{core::Duration(5'000'000)};
+  core::Random random{1};
+  platform::FleetJoin join{
+      {"10.0.0.1:7000", "west"}, true, [] { return kKey; }};
+};
+
+/// Base64 of the key and of the text "west".
+const std::string kKeyItem =
+    R"({"key":"key","value":"YWFhYWFhYWFhYWFhYWFhYWFhYWFhYWFhYWFhYWFhYWFhYWFhYW)"
+    R"(FhYWFhYWFhYWFhYWFhYWFhYWFhYWFhYWFhYQ==","offset":0})";
+const std::string kMemberItem =
+    R"({"key":"member/10.0.0.2:7000","value":"d2VzdA==","offset":1})";
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(fleet_join, Fixture)
+
+// Guards against two keys in one fleet: whoever loses the race, or loses the
+// answer, takes the key that is in the topic.
+BOOST_AUTO_TEST_CASE(the_key_in_the_topic_counts) {
+  BOOST_TEST(Call() == "GET /bambootack/log-newest?topic=keyed.fleet&part=0");
+  Answer(200, R"({"items":[],"hasMore":false,"end":0})");
+  BOOST_TEST(Call() ==
+             "POST /bambootack/log-append?topic=keyed.fleet&part=0&asOf=0");
+  Answer(412, R"({"end":1})");
+  BOOST_TEST(join.Key().empty());
+  BOOST_TEST(Call() == "GET /bambootack/log-newest?topic=keyed.fleet&part=0");
+  Answer(200, R"({"items":[)" + kKeyItem + R"(],"hasMore":false,"end":1})");
+  BOOST_TEST(join.Key() == kKey);
+  BOOST_TEST(Call() == "POST /bambootack/log-append?topic=keyed.fleet&part=0");
+  Answer(200, R"({"offset":5,"end":6})");
+  BOOST_TEST(*join.StartNumber() == 5U);
+  BOOST_TEST(Call() == "GET /bambootack/log-newest?topic=keyed.fleet&part=0");
+  Answer(200, R"({"items":[)" + kKeyItem + "," + kMemberItem +
+                  R"(],"hasMore":false,"end":6})");
+  BOOST_TEST(join.IsDone());
+  BOOST_TEST(join.Members().contains("10.0.0.2:7000"));
+  BOOST_TEST(Call() == "none");
+}
+
+BOOST_AUTO_TEST_CASE(lost_answers_are_tried_again) {
+  for (int i = 0; i < 3; ++i) {
+    BOOST_TEST(Call() != "none");
+    join.Take(std::nullopt, now, random);
+    BOOST_TEST(!join.Next(now).has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(members_with_an_unreadable_address_are_left_out) {
+  static_cast<void>(Call());
+  Answer(200,
+         R"({"items":[)" + kKeyItem +
+             R"(,{"key":"member/nowhere","value":"d2VzdA==","offset":1},)" +
+             R"({"key":"member/","value":"d2VzdA==","offset":1},)" +
+             R"({"key":7}],"hasMore":false,"end":6})");
+  BOOST_TEST(join.Members().empty());
+  BOOST_TEST(join.Key() == kKey);
+}
+
+BOOST_AUTO_TEST_CASE(bounds_are_read_by_name) {
+  const auto bounds = platform::ParseBounds(
+      "seedLagS=3,retryBudgetRatio=0.3,odd,retryBudgetSlack=320,x=y");
+  BOOST_TEST(bounds.repeat_share == 0.3);
+  BOOST_TEST(bounds.repeat_slack == 320.0);
+  BOOST_TEST(platform::ParseBounds("").repeat_share == 0.2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
