Share the repeats of sends between the VMs of a fleet

Found by the test repeats_of_vms_alone_stay_within_the_budget_of_the_fleet: every VM that heard no other was its own dispatcher and spent the fleet's budget (1800 repeats of 2400 reads where 560 are allowed).

--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -207,9 +207,8 @@
   void SendAgainOrFail(core::Handle handle, core::Time now);
   using Budgets = std::map<std::string, dispatch::RetryBudget, std::less<>>;
 
-  [[nodiscard]] dispatch::RetryBudget& BudgetOf(Budgets& budgets,
-                                                const std::string& service,
-                                                double burst) const;
+  [[nodiscard]] dispatch::RetryBudget& BudgetOf(bool alone,
+                                                const std::string& service);
   [[nodiscard]] bool Count(bool alone, bool repeat, const std::string& service);
   [[nodiscard]] bool MaySendAgain(const Request& request, core::Time now) const;
   void Deliver(core::Handle handle, core::HttpAnswer answer, core::Time now);
--- a/src/bambootack/gateway/gateway_sends.cc
+++ b/src/bambootack/gateway/gateway_sends.cc
@@ -27,10 +27,17 @@
 /// Share of the target that a request may wait in a server's queue.
 constexpr int kPatienceDivisor = 2;
 
-/// Shares of the budget for repeated sends. The dispatcher's part and the
-/// parts of entries that hear no dispatcher add up to less than the whole.
-constexpr double kFleetPart = 0.5;
-constexpr double kAlonePart = 0.4;
+/// Part of the share of repeated sends that is used; the rest covers sends that
+/// are counted in another window than their request.
+constexpr double kSharePart = 0.9;
+
+/// Parts of the repeated sends that need no first ones. VMs that cannot hear
+/// each other may choose different dispatchers: only the first two VMs in the
+/// order of a service spend for others, and all the rest have parts that add
+/// up, so that the sum over the fleet holds whoever hears whom.
+constexpr double kFirstPart = 0.2;
+constexpr double kSecondPart = 0.06;
+constexpr double kAllOthersPart = 0.72;
 
 std::string_view StateName(bool draining, bool gone) {
   if (gone) {
@@ -93,23 +100,32 @@
           options_.vm, now);
 }
 
-dispatch::RetryBudget& Gateway::BudgetOf(Budgets& budgets,
-                                         const std::string& service,
-                                         double burst) const {
-  const auto [it, created] = budgets.try_emplace(service);
+dispatch::RetryBudget& Gateway::BudgetOf(bool alone,
+                                         const std::string& service) {
+  const std::size_t rank = broker_.RankOfSelf(service);
+  const bool spends_for_others = !alone && rank <= 1;
+  const auto [it, created] =
+      (spends_for_others ? fleet_budgets_ : alone_budgets_)
+          .try_emplace(service);
   if (created) {
-    it->second.Configure(options_.repeat_share * kFleetPart, burst);
+    const double part = rank == 0 ? kFirstPart : kSecondPart;
+    const double burst = options_.repeat_burst *
+                         (spends_for_others
+                              ? part
+                              : kAllOthersPart /
+                                    static_cast<double>(broker_.Size()));
+    it->second.Configure(options_.repeat_share * kSharePart, burst);
   }
   return it->second;
 }
 
-/// Counts a send. Returns false for a repeat that exceeds the budget.
+/// Counts a send. Returns false for a repeat that exceeds the budget, of which
+/// a VM knows its part only when it knows the fleet.
 bool Gateway::Count(bool alone, bool repeat, const std::string& service) {
-  const double burst = alone ? options_.repeat_burst * kAlonePart /
-                                   static_cast<double>(broker_.Size())
-                             : options_.repeat_burst * kFleetPart;
-  dispatch::RetryBudget& budget =
-      BudgetOf(alone ? alone_budgets_ : fleet_budgets_, service, burst);
+  if (!spread_.IsSettled()) {
+    return !repeat;
+  }
+  dispatch::RetryBudget& budget = BudgetOf(alone, service);
   if (repeat) {
     return budget.Take();
   }
--- a/src/bambootack/gateway/slot_broker.cc
+++ b/src/bambootack/gateway/slot_broker.cc
@@ -46,6 +46,15 @@
   return best;
 }
 
+std::size_t SlotBroker::RankOfSelf(std::string_view service) const {
+  const std::uint64_t object = core::HashBytes(service);
+  const std::uint64_t own = core::RendezvousScore(object, self_);
+  return static_cast<std::size_t>(
+      std::count_if(members_.begin(), members_.end(), [&](const auto& it) {
+        return core::RendezvousScore(object, it.first) > own;
+      }));
+}
+
 void SlotBroker::Suspect(core::VmId vm, core::Time now) {
   Suspicion& it = suspicions_[vm];
   if (now < it.until) {
--- a/src/bambootack/gateway/slot_broker.h
+++ b/src/bambootack/gateway/slot_broker.h
@@ -34,6 +34,12 @@
   [[nodiscard]] core::VmId Choose(std::string_view service,
                                   core::Time now) const;
 
+  /// @brief Tells how many VMs come before this one as dispatcher of a service,
+  /// whether or not they answer.
+  /// @param service The service.
+  /// @return The number of VMs.
+  [[nodiscard]] std::size_t RankOfSelf(std::string_view service) const;
+
   /// @brief Notes that a VM did not answer. It is not chosen for a time that
   /// grows with each silence.
   /// @param vm The VM.
--- a/src/bambootack/gateway/state_spread.h
+++ b/src/bambootack/gateway/state_spread.h
@@ -44,6 +44,10 @@
   /// @brief Tells that the other VMs of the fleet are known.
   void Settle() noexcept { settled_ = true; }
 
+  /// @brief Tells whether the other VMs of the fleet are known.
+  /// @return True after `Settle`.
+  [[nodiscard]] bool IsSettled() const noexcept { return settled_; }
+
   /// @brief Tells whether this VM is to read the store.
   /// @param now Current time.
   /// @return True for the reader of the domain and for a VM without fresh
--- a/test/bambootack/gateway/gateway_fixture.h
+++ b/test/bambootack/gateway/gateway_fixture.h
@@ -12,11 +12,10 @@
 namespace bambootack::gateway {
 
 inline constexpr core::VmId kSelf{1};
-inline constexpr core::VmId kPeer{2};
 
 /// A gateway in virtual time with four servers of one service.
 struct GatewayFixture {
-  GatewayFixture() : gateway(Options(), 7) {
+  explicit GatewayFixture(core::VmId vm = kSelf) : gateway(Options(vm), 7) {
     for (int i = 0; i < 4; ++i) {
       ServerRecord record;
       record.id = "s" + std::to_string(i);
@@ -27,11 +26,12 @@
       gateway.Registry().Apply(record, static_cast<std::uint64_t>(i), now);
     }
     gateway.Spread().NoteRead(4, now, now);
+    gateway.Spread().Settle();
   }
 
-  static GatewayOptions Options() {
+  static GatewayOptions Options(core::VmId vm) {
     GatewayOptions options;
-    options.vm = kSelf;
+    options.vm = vm;
     options.peer_address = "10.0.1.1:7000";
     options.failure_domain = "west";
     options.dialect = {"Request-Id", "Time-Left-Ms", "Only-Server",
@@ -66,9 +66,9 @@
     return route;
   }
 
-  /// The dispatcher of the service is the peer, whichever hash it has.
+  /// Adds the other VMs of a fleet of forty.
   void AddPeers() {
-    for (std::uint32_t vm = 2; vm < 40; ++vm) {
+    for (std::uint32_t vm = 1; vm <= 40; ++vm) {
       gateway.Meet({core::VmId{vm}, {}, "10.0.1.2:7000", "east"});
     }
     static_cast<void>(gateway.TakeActions());
--- a/test/bambootack/gateway/gateway_test.cc
+++ b/test/bambootack/gateway/gateway_test.cc
@@ -209,14 +209,13 @@
 }
 
 // Guards against a fleet that sends more repeats than its services allow while
-// its VMs cannot hear each other: each alone, and as many dispatchers as VMs
-// take over by turns.
+// its VMs cannot hear each other, so that each becomes its own dispatcher.
 BOOST_AUTO_TEST_CASE(repeats_of_vms_alone_stay_within_the_budget_of_the_fleet) {
-  constexpr int kVms = 40;
+  constexpr std::uint32_t kVms = 40;
   constexpr int kReads = 60;
   int repeats = 0;
-  for (int vm = 0; vm < kVms; ++vm) {
-    GatewayFixture alone;
+  for (std::uint32_t vm = 1; vm <= kVms; ++vm) {
+    GatewayFixture alone{core::VmId{vm}};
     alone.Configure();
     alone.AddPeers();
     for (int i = 0; i < kReads; ++i) {
