Meet the other VMs once messages can be sent to them

Cause of 200 silent dispatchers a second after a loss of power of all VMs: a VM that starts again finds the whole list at its first read, before it can send, and the addresses were dropped. Ruled out: refused frames (none was logged), the incarnations. Log refused frames.

--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -20,8 +20,9 @@
 
 class Peers::Impl {
  public:
-  Impl(PeerIdentity identity, OnMessage on_message)
+  Impl(PeerIdentity identity, OnMessage on_message, OnRejected on_rejected)
       : on_message_(std::move(on_message)),
+        on_rejected_(std::move(on_rejected)),
         security_(identity.vm, {identity.key}, identity.incarnation),
         transport_(identity.address, Hooks()) {}
 
@@ -67,6 +68,9 @@
       return core::kNoVm;
     }
     const auto& rejection = std::get<daemon::FrameRejection>(opened);
+    if (!rejection.hello) {
+      on_rejected_(rejection.sender, rejection.detail);
+    }
     return rejection.hello || rejection.fault == wire::FrameFault::kWrongSession
                ? rejection.sender
                : core::kNoVm;
@@ -83,17 +87,21 @@
         [] { return std::optional<gateway::PeerMessage>(); });
     if (message) {
       on_message_(frame.sender, *std::move(message));
+    } else {
+      on_rejected_(frame.sender, "cannot be decoded");
     }
   }
 
   OnMessage on_message_;
+  OnRejected on_rejected_;
   daemon::PeerSecurity security_;
   net::PeerTransport transport_;
 };
 
-Peers::Peers(PeerIdentity identity, OnMessage on_message)
-    : impl_(
-          std::make_unique<Impl>(std::move(identity), std::move(on_message))) {}
+Peers::Peers(PeerIdentity identity, OnMessage on_message,
+             OnRejected on_rejected)
+    : impl_(std::make_unique<Impl>(std::move(identity), std::move(on_message),
+                                   std::move(on_rejected))) {}
 
 Peers::~Peers() = default;
 
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -26,11 +26,15 @@
   /// @brief Called on the transport's thread for each message.
   using OnMessage = std::function<void(core::VmId, gateway::PeerMessage)>;
 
+  /// @brief Called on the transport's thread for each frame that was refused.
+  using OnRejected = std::function<void(core::VmId, std::string)>;
+
   /// @brief Starts to listen.
   /// @param identity Identity of this process.
   /// @param on_message Receives messages.
+  /// @param on_rejected Receives the sender, if known, and the reason.
   /// @throw std::exception if the address cannot be bound.
-  Peers(PeerIdentity identity, OnMessage on_message);
+  Peers(PeerIdentity identity, OnMessage on_message, OnRejected on_rejected);
   ~Peers();
   Peers(const Peers&) = delete;
   Peers& operator=(const Peers&) = delete;
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -296,8 +296,19 @@
                          gateway_.Receive(from, std::move(message), Now());
                          Settle();
                        });
+          },
+          [this](core::VmId from, std::string reason) {
+            asio::post(control_, [this, from, reason = std::move(reason)] {
+              log_.Add({log::EventId::kFrameRejected,
+                        fmt::format("sender={} reason={}",
+                                    static_cast<std::uint32_t>(from), reason)},
+                       Now());
+            });
           });
     }
+    if (!peers_) {
+      return;
+    }
     for (const auto& [address, it] : join_.Members()) {
       gateway_.Meet({NumberOf(address), {}, address, it.failure_domain});
     }
