--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -137,7 +137,13 @@
   }
   spread_.Tick(now, random_);
   pool_.Expire(now);
-  if (registry_.Expire(spread_.Position(), now)) {
+  const std::vector<std::string> removed =
+      registry_.Expire(spread_.Position(), now);
+  for (const std::string& it : removed) {
+    Log(log::EventId::kServerChanged,
+        fmt::format("server={} state=gone cause=not-back", it));
+  }
+  if (!removed.empty()) {
     pool_.Follow(registry_, now);
   }
   ReportTrust(now);
--- a/src/bambootack/gateway/server_registry.cc
+++ b/src/bambootack/gateway/server_registry.cc
@@ -6,10 +6,6 @@
 namespace bambootack::gateway {
 namespace {
 
-/// Servers that live write their lapsed entries again within two seconds of
-/// the store's return (letter 2).
-constexpr core::Duration kReturnTime = std::chrono::milliseconds(2000);
-
 bool SameButSequence(ServerRecord a, const ServerRecord& b) {
   a.sequence = b.sequence;
   a.warmup_left = b.warmup_left;
@@ -75,8 +71,8 @@
   if (it == servers_.end() || newest_.find(id)->second.offset > offset) {
     return false;
   }
-  if (store_lost_ || (hold_until_ && now < *hold_until_)) {
-    it->second.remove_at = hold_until_.value_or(now + kReturnTime);
+  if (now < hold_until_) {
+    it->second.remove_at = hold_until_;
     it->second.offset = offset;
     return false;
   }
@@ -121,17 +117,7 @@
   return changes;
 }
 
-void ServerRegistry::StoreLost(core::Time /*now*/) noexcept {
-  store_lost_ = true;
-}
-
-void ServerRegistry::StoreFound(core::Time now) noexcept {
-  if (std::exchange(store_lost_, false)) {
-    hold_until_ = now + kReturnTime;
-  }
-}
-
-bool ServerRegistry::Expire(std::uint64_t position, core::Time now) {
+std::vector<std::string> ServerRegistry::Expire(std::uint64_t position, core::Time now) {
   std::vector<std::string> due;
   for (const auto& [id, it] : servers_) {
     if (it.remove_at && *it.remove_at <= now) {
@@ -142,7 +128,7 @@
     Erase(id, servers_.find(id)->second.offset);
     newest_.find(id)->second.told_from = position;
   }
-  return !due.empty();
+  return due;
 }
 
 std::optional<core::Time> ServerRegistry::NextDue() const noexcept {
--- a/src/bambootack/gateway/server_registry.h
+++ b/src/bambootack/gateway/server_registry.h
@@ -64,20 +64,16 @@
   [[nodiscard]] std::vector<ServerChange> Since(std::uint64_t offset,
                                                 core::Time now) const;
 
-  /// @brief Tells that the store does not answer. Entries that vanish until it
-  /// has answered again for a while are kept.
-  /// @param now Current time.
-  void StoreLost(core::Time now) noexcept;
-
-  /// @brief Tells that the store answers.
-  /// @param now Current time.
-  void StoreFound(core::Time now) noexcept;
+  /// @brief Keeps entries that vanish from now on until a time, unless they
+  /// come back: they may have lapsed while the store was away.
+  /// @param until The time.
+  void HoldRemovals(core::Time until) noexcept { hold_until_ = until; }
 
   /// @brief Carries out removals that are due.
   /// @param position Place in the store up to which all is known.
   /// @param now Current time.
-  /// @return True if a server was removed.
-  bool Expire(std::uint64_t position, core::Time now);
+  /// @return Servers that were removed.
+  std::vector<std::string> Expire(std::uint64_t position, core::Time now);
 
   /// @brief When `Expire` is due.
   /// @return The time, or nothing.
@@ -105,8 +101,7 @@
 
   std::map<std::string, Registration, std::less<>> servers_;
   std::map<std::string, Newest, std::less<>> newest_;
-  std::optional<core::Time> hold_until_;
-  bool store_lost_ = false;
+  core::Time hold_until_{};
 };
 
 }  // namespace bambootack::gateway
--- a/src/bambootack/gateway/state_spread.cc
+++ b/src/bambootack/gateway/state_spread.cc
@@ -12,8 +12,9 @@
 /// what is left suffices for a read of one's own.
 constexpr core::Duration kFreshTime = std::chrono::milliseconds(1500);
 
-/// A reader that told nothing fresh is passed over for this long.
-constexpr core::Duration kSilentTime = std::chrono::milliseconds(3000);
+/// A reader that told nothing fresh is passed over for this long, unless it
+/// tells something before.
+constexpr core::Duration kSilentTime = std::chrono::seconds(10);
 
 /// Pause between two questions.
 constexpr core::Duration kAskPause = std::chrono::milliseconds(250);
--- a/src/bambootack/gateway/state_spread.h
+++ b/src/bambootack/gateway/state_spread.h
@@ -88,6 +88,15 @@
   /// @return The time.
   [[nodiscard]] core::Time NextDue() const;
 
+  /// @brief Age of the knowledge of servers.
+  /// @param now Current time.
+  /// @return The age, or nothing before the first knowledge.
+  [[nodiscard]] std::optional<core::Duration> AgeAt(core::Time now) const {
+    return confirmed_ ? std::optional(std::chrono::duration_cast<core::Duration>(
+                            now - *confirmed_))
+                      : std::nullopt;
+  }
+
   /// @brief Position up to which the registry is complete.
   /// @return The position, zero before the first knowledge.
   [[nodiscard]] std::uint64_t Position() const noexcept { return position_; }
--- a/test/bambootack/gateway/server_registry_test.cc
+++ b/test/bambootack/gateway/server_registry_test.cc
@@ -79,14 +79,13 @@
   gateway::ServerRecord other = Record("b", 100, 1);
   other.address = "10.0.0.2:80";
   registry.Apply(other, 11, kStart);
-  registry.StoreLost(kStart);
   const core::Time back = kStart + milliseconds(5000);
-  registry.StoreFound(back);
+  registry.HoldRemovals(back + milliseconds(2000));
   BOOST_TEST(!registry.Remove("a", 20, back + milliseconds(10)));
   BOOST_TEST(!registry.Remove("b", 21, back + milliseconds(10)));
   BOOST_TEST(registry.Servers().size() == 2U);
   registry.Apply(Record("a", 100, 2), 22, back + milliseconds(900));
-  BOOST_TEST(registry.Expire(23, back + milliseconds(2000)));
+  BOOST_TEST(registry.Expire(23, back + milliseconds(2000)).size() == 1U);
   BOOST_TEST(registry.Servers().contains("a"));
   BOOST_TEST(!registry.Servers().contains("b"));
   // Others that know all up to 23 are told of the removal.
