--- a/src/bambootack/gateway/gateway_sends.cc
+++ b/src/bambootack/gateway/gateway_sends.cc
@@ -109,11 +109,11 @@
           .try_emplace(service);
   if (created) {
     const double part = rank == 0 ? kFirstPart : kSecondPart;
-    const double burst = options_.repeat_burst *
-                         (spends_for_others
-                              ? part
-                              : kAllOthersPart /
-                                    static_cast<double>(broker_.Size()));
+    const double burst =
+        options_.repeat_burst *
+        (spends_for_others
+             ? part
+             : kAllOthersPart / static_cast<double>(broker_.Size()));
     it->second.Configure(options_.repeat_share * kSharePart, burst);
   }
   return it->second;
--- a/src/bambootack/gateway/server_registry.cc
+++ b/src/bambootack/gateway/server_registry.cc
@@ -117,7 +117,8 @@
   return changes;
 }
 
-std::vector<std::string> ServerRegistry::Expire(std::uint64_t position, core::Time now) {
+std::vector<std::string> ServerRegistry::Expire(std::uint64_t position,
+                                                core::Time now) {
   std::vector<std::string> due;
   for (const auto& [id, it] : servers_) {
     if (it.remove_at && *it.remove_at <= now) {
--- a/src/bambootack/gateway/state_spread.cc
+++ b/src/bambootack/gateway/state_spread.cc
@@ -51,7 +51,7 @@
 bool StateSpread::ShouldRead(core::Time now) const {
   const bool left_behind = behind_since_ && now >= *behind_since_ + kBehindTime;
   return now >= FreshUntil() || left_behind ||
-         ((confirmed_ || settled_) && ReaderOfDomain(now) == self_);
+         ((confirmed_ || settled_) && IsReader(now));
 }
 
 void StateSpread::CheckBehind(core::Time now) {
@@ -67,7 +67,7 @@
   position_ = std::max(position_, position);
   confirmed_ = std::max(confirmed_.value_or(confirmed), confirmed);
   CheckBehind(now);
-  if (ReaderOfDomain(now) == self_) {
+  if (IsReader(now)) {
     Announce(now);
   }
 }
@@ -75,7 +75,7 @@
 void StateSpread::NoteConfig(const GatewayConfig& config, core::Time now) {
   config_ = config;
   CheckBehind(now);
-  if (confirmed_ && ReaderOfDomain(now) == self_) {
+  if (confirmed_ && IsReader(now)) {
     Announce(now);
   }
 }
--- a/src/bambootack/gateway/state_spread.h
+++ b/src/bambootack/gateway/state_spread.h
@@ -54,6 +54,13 @@
   /// knowledge.
   [[nodiscard]] bool ShouldRead(core::Time now) const;
 
+  /// @brief Tells whether this VM reads for its failure domain.
+  /// @param now Current time.
+  /// @return True for the reader.
+  [[nodiscard]] bool IsReader(core::Time now) const {
+    return ReaderOfDomain(now) == self_;
+  }
+
   /// @brief Notes what the store has confirmed to this VM.
   /// @param position Position in the topic of servers.
   /// @param confirmed When the read began.
@@ -92,9 +99,10 @@
   /// @param now Current time.
   /// @return The age, or nothing before the first knowledge.
   [[nodiscard]] std::optional<core::Duration> AgeAt(core::Time now) const {
-    return confirmed_ ? std::optional(std::chrono::duration_cast<core::Duration>(
-                            now - *confirmed_))
-                      : std::nullopt;
+    return confirmed_
+               ? std::optional(std::chrono::duration_cast<core::Duration>(
+                     now - *confirmed_))
+               : std::nullopt;
   }
 
   /// @brief Position up to which the registry is complete.
--- a/test/platform/topic_follower_test.cc
+++ b/test/platform/topic_follower_test.cc
@@ -11,6 +11,8 @@
 
 namespace {
 
+const core::Duration kPause = milliseconds(1200);
+
 core::HttpAnswer Page(const std::string& body) { return {200, {}, body}; }
 
 /// "eA==" is "x" in base64.
@@ -51,16 +53,19 @@
   BOOST_TEST(first->http.target ==
              "/bambootack/log-newest?topic=keyed.servers&part=0");
   BOOST_TEST(!follower.Next(now).has_value());
-  BOOST_TEST(!follower.Take(Page(Newest("ab", 7, true)), now, random).keys);
+  BOOST_TEST(
+      !follower.Take(Page(Newest("ab", 7, true)), now, kPause, random).keys);
   const auto second = follower.Next(now);
   BOOST_TEST(second->http.target.ends_with("&after=b"));
   // The topic grew between the pages: the records since the first are read.
-  const auto whole = follower.Take(Page(Newest("c", 9, false)), now, random);
+  const auto whole =
+      follower.Take(Page(Newest("c", 9, false)), now, kPause, random);
   BOOST_TEST(whole.keys->size() == 3U);
   now += milliseconds(150);
   const auto read = follower.Next(now);
   BOOST_TEST(read->http.target.find("from=7&waitMs=900") != std::string::npos);
-  const auto change = follower.Take(Page(Records(9, "de")), now, random);
+  const auto change =
+      follower.Take(Page(Records(9, "de")), now, kPause, random);
   BOOST_TEST(change.records.size() == 2U);
   BOOST_TEST(change.records[0].offset == 7U);
   BOOST_TEST(change.records[1].offset == 8U);
@@ -70,11 +75,12 @@
 // Guards against a follower that stays without records that expired unread.
 BOOST_AUTO_TEST_CASE(expired_records_lead_to_a_new_start) {
   static_cast<void>(follower.Next(now));
-  static_cast<void>(follower.Take(Page(Newest("a", 7, false)), now, random));
+  static_cast<void>(
+      follower.Take(Page(Newest("a", 7, false)), now, kPause, random));
   now += milliseconds(150);
   static_cast<void>(follower.Next(now));
-  static_cast<void>(
-      follower.Take(core::HttpAnswer{410, {}, R"({"first":20})"}, now, random));
+  static_cast<void>(follower.Take(core::HttpAnswer{410, {}, R"({"first":20})"},
+                                  now, kPause, random));
   now += milliseconds(300);
   BOOST_TEST(follower.Next(now)->http.target.find("log-newest") !=
              std::string::npos);
@@ -87,7 +93,7 @@
     const auto answer = status == 0
                             ? std::nullopt
                             : std::optional(core::HttpAnswer{status, {}, ""});
-    BOOST_TEST(!follower.Take(answer, now, random).answered);
+    BOOST_TEST(!follower.Take(answer, now, kPause, random).answered);
     BOOST_TEST(!follower.Next(now + milliseconds(74)).has_value());
     now += milliseconds(2000);
   }
@@ -97,7 +103,7 @@
   for (const std::string body :
        {"", "{", "[]", R"({"items":7,"end":1})", R"({"items":[],"end":"x"})"}) {
     static_cast<void>(follower.Next(now));
-    const auto change = follower.Take(Page(body), now, random);
+    const auto change = follower.Take(Page(body), now, kPause, random);
     BOOST_TEST(!change.answered, body);
     BOOST_TEST(change.records.empty(), body);
     now += milliseconds(2000);
@@ -111,12 +117,13 @@
 // Guards against freshness that a held read does not give.
 BOOST_AUTO_TEST_CASE(a_held_read_confirms_the_time_of_its_end) {
   static_cast<void>(follower.Next(now));
-  static_cast<void>(follower.Take(Page(Newest("a", 7, false)), now, random));
+  static_cast<void>(
+      follower.Take(Page(Newest("a", 7, false)), now, kPause, random));
   now += milliseconds(150);
   const core::Time called = now;
   static_cast<void>(follower.Next(now));
   now += milliseconds(905);
-  static_cast<void>(follower.Take(Page(Records(7, "")), now, random));
+  static_cast<void>(follower.Take(Page(Records(7, "")), now, kPause, random));
   BOOST_TEST((*follower.Current() == called + milliseconds(900)));
 }
 
