--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -12,7 +12,6 @@
 /// Characters of a caller's text that a log line shows.
 constexpr std::size_t kMaxLoggedText = 64;
 
-/// Requests that are left until the last fifth of the target are late anyway.
 std::string_view Shown(std::string_view text) {
   return text.substr(0, kMaxLoggedText);
 }
@@ -76,6 +75,8 @@
         fmt::format("request={} error={} version={} path={}", Shown(request.id),
                     core::AnswerOf(*error).name, routes_->Version(),
                     Shown(request.http.target)));
+    metrics_.CountAnswer(core::AnswerOf(*error).name,
+                         core::AnswerOf(*error).status);
     Answer(caller, RefusalAnswer(*error, {}, true));
     return;
   }
@@ -124,6 +125,7 @@
              now);
     } else if (request.asked && now >= request.asked_until) {
       broker_.Suspect(*request.asked, now);
+      metrics_.CountSilence();
       Log(log::EventId::kDispatcherSilent,
           fmt::format("request={} vm={}", Shown(request.id),
                       static_cast<std::uint32_t>(*request.asked)));
@@ -168,6 +170,8 @@
           "request={} status={} server={} sends={} ms={}", Shown(request.id),
           answer.status, request.send ? request.send->slot.server : "-",
           request.arrivals, core::ToMilliseconds(now - request.arrived)));
+  metrics_.CountAnswer("none", answer.status);
+  metrics_.ObserveLatency(request.route->priority, now - request.arrived);
   answer.headers = core::EndToEndHeaders(answer.headers);
   Answer(request.caller, std::move(answer));
   Erase(handle);
@@ -186,6 +190,8 @@
                   Shown(request.id), core::AnswerOf(kind).name,
                   request.arrivals, request.runs,
                   core::ToMilliseconds(now - request.arrived)));
+  metrics_.CountAnswer(core::AnswerOf(kind).name, core::AnswerOf(kind).status);
+  metrics_.ObserveLatency(request.route->priority, now - request.arrived);
   Answer(request.caller,
          RefusalAnswer(kind, request.deadline - now, !may_have_run));
   Erase(handle);
@@ -224,6 +230,7 @@
 
 void Gateway::ReportTrust(core::Time /*now*/) {
   for (const TrustChange& it : pool_.TakeChanges()) {
+    metrics_.CountTrust(it.to);
     Log(log::EventId::kServerTrust,
         fmt::format("server={} trust={} cause={}", it.server,
                     kServerTrustNames.Name(it.to),
@@ -231,6 +238,17 @@
   }
 }
 
+GatewayGauges Gateway::Gauges(core::Time now) const {
+  GatewayGauges gauges;
+  gauges.in_flight = requests_.size();
+  gauges.servers = registry_.Servers().size();
+  gauges.members = broker_.Size();
+  gauges.config_version = routes_->Version();
+  gauges.knowledge_age = spread_.AgeAt(now).value_or(core::Duration{});
+  gauges.ready = IsReady();
+  return gauges;
+}
+
 void Gateway::Log(log::EventId id, std::string detail) {
   actions_.emplace_back(node::WriteLog{{id, std::move(detail)}});
 }
--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "bambootack/dispatch/retry_budget.h"
 #include "bambootack/gateway/dialect.h"
 #include "bambootack/gateway/messages.h"
+#include "bambootack/gateway/metrics.h"
 #include "bambootack/gateway/route_table.h"
 #include "bambootack/gateway/server_pool.h"
 #include "bambootack/gateway/server_registry.h"
@@ -152,6 +153,15 @@
   /// @return The table.
   [[nodiscard]] const RouteTable& Routes() const noexcept { return *routes_; }
 
+  /// @brief Counters and histograms.
+  /// @return The metrics.
+  [[nodiscard]] GatewayMetrics& Metrics() noexcept { return metrics_; }
+
+  /// @brief Values for the metrics.
+  /// @param now Current time.
+  /// @return The values.
+  [[nodiscard]] GatewayGauges Gauges(core::Time now) const;
+
   /// @brief Takes the actions since the last call.
   /// @return The actions, in order.
   [[nodiscard]] std::vector<GatewayAction> TakeActions();
@@ -176,6 +186,7 @@
     int arrivals = 0;                 ///< Sends that may have reached a server.
     int runs = 0;                     ///< Sends that a server may have run.
     std::optional<core::VmId> asked;  ///< Dispatcher that has yet to reply.
+    core::Time asked_at{};
     core::Time asked_until{};
     std::optional<Send> send;         ///< Send in flight.
     core::Time impatient_at{};        ///< When a read is sent once more.
@@ -235,6 +246,7 @@
   std::map<std::string, core::Time, std::less<>> unreachable_until_;
   Budgets fleet_budgets_;  ///< As dispatcher, for all entries.
   Budgets alone_budgets_;  ///< As an entry that hears no dispatcher.
+  GatewayMetrics metrics_;
   std::vector<GatewayAction> actions_;
   std::uint64_t last_send_ = 0;
   bool stopping_ = false;
--- a/src/bambootack/gateway/gateway_sends.cc
+++ b/src/bambootack/gateway/gateway_sends.cc
@@ -81,6 +81,7 @@
     return;
   }
   request.asked = dispatcher;
+  request.asked_at = now;
   request.asked_until = now + kSlotWait;
   SetDue(handle, request);
   actions_.emplace_back(TellPeer{
@@ -221,6 +222,7 @@
   const Send done = *std::exchange(request.send, std::nullopt);
   by_send_.erase(found);
   GiveBack(done, result, load, now);
+  metrics_.CountSend(result);
   Log(log::EventId::kSendEnded,
       fmt::format("request={} server={} end={} status={} ms={}", request.id,
                   done.slot.server, kSendEndNames.Name(result), answer.status,
@@ -333,6 +335,7 @@
     GiveBack(from, message.slot->lease, SendEnd::kCancelled, std::nullopt, now);
     ChooseAlone(message.key.request, now);
   } else if (awaited) {
+    metrics_.ObserveSlotWait(now - request->asked_at);
     request->asked.reset();
     UseSlot(message.key.request, std::move(message.slot), from, now);
   } else if (message.slot) {
--- /dev/null
+++ b/src/bambootack/gateway/metrics.cc
@@ -0,0 +1,96 @@
+#include "bambootack/gateway/metrics.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+#include "bambootack/metrics/text.h"
+
+namespace bambootack::gateway {
+namespace {
+
+using metrics::MetricInfo;
+
+/// Priorities above this share one histogram.
+constexpr int kLastPriority = 9;
+
+constexpr MetricInfo kAnswers{"bambootack_gateway_answers_total", "counter",
+                              "Answers to callers."};
+constexpr MetricInfo kSends{"bambootack_gateway_sends_total", "counter",
+                            "Ends of sends to backend servers."};
+constexpr MetricInfo kTrust{"bambootack_gateway_trust_changes_total", "counter",
+                            "Changes of trust in backend servers."};
+constexpr MetricInfo kSilences{
+    "bambootack_gateway_silent_dispatchers_total", "counter",
+    "Slots that a dispatcher did not grant in time."};
+constexpr MetricInfo kStoreCalls{"bambootack_gateway_store_calls_total",
+                                 "counter", "Calls to the platform's store."};
+constexpr MetricInfo kLatency{"bambootack_gateway_latency_seconds", "histogram",
+                              "Time from a request to its answer."};
+constexpr MetricInfo kSlotWait{"bambootack_gateway_slot_wait_seconds",
+                               "histogram",
+                               "Time that a request waited for a slot."};
+constexpr MetricInfo kInFlight{"bambootack_gateway_in_flight", "gauge",
+                               "Requests in progress."};
+constexpr MetricInfo kServers{"bambootack_gateway_servers", "gauge",
+                              "Registered backend servers."};
+constexpr MetricInfo kMembers{"bambootack_gateway_members", "gauge",
+                              "VMs known, with this one."};
+constexpr MetricInfo kVersion{"bambootack_gateway_config_version", "gauge",
+                              "Version of the configuration in force."};
+constexpr MetricInfo kAge{"bambootack_gateway_knowledge_age_milliseconds",
+                          "gauge", "Age of what is known of the store."};
+constexpr MetricInfo kReady{"bambootack_gateway_ready", "gauge",
+                            "1 if this VM takes traffic."};
+
+constexpr std::array kCatalogue{
+    kAnswers,  kSends,   kTrust,   kSilences, kStoreCalls, kLatency, kSlotWait,
+    kInFlight, kServers, kMembers, kVersion,  kAge,        kReady};
+
+}  // namespace
+
+std::span<const MetricInfo> GatewayCatalogue() noexcept { return kCatalogue; }
+
+void GatewayMetrics::CountAnswer(std::string_view error, int status) {
+  ++answers_[fmt::format("error=\"{}\",status=\"{}\"", error, status)];
+}
+
+void GatewayMetrics::CountSend(SendEnd end) {
+  ++sends_[fmt::format("end=\"{}\"", kSendEndNames.Name(end))];
+}
+
+void GatewayMetrics::CountTrust(ServerTrust to) {
+  ++trust_[fmt::format("to=\"{}\"", kServerTrustNames.Name(to))];
+}
+
+void GatewayMetrics::ObserveLatency(int priority, core::Duration value) {
+  latency_[std::min(priority, kLastPriority)].Observe(value);
+}
+
+std::string GatewayMetrics::Text(const GatewayGauges& gauges) const {
+  std::string out;
+  metrics::WriteCounts(out, kAnswers, answers_);
+  metrics::WriteCounts(out, kSends, sends_);
+  metrics::WriteCounts(out, kTrust, trust_);
+  metrics::WriteValue(out, kSilences, silences_);
+  metrics::WriteValue(out, kStoreCalls, store_calls_);
+  metrics::WriteHead(out, kLatency);
+  for (const auto& [priority, histogram] : latency_) {
+    histogram.Write(out, kLatency.name,
+                    fmt::format("priority=\"{}\"", priority));
+  }
+  metrics::WriteHead(out, kSlotWait);
+  slot_wait_.Write(out, kSlotWait.name, "");
+  metrics::WriteValue(out, kInFlight, gauges.in_flight);
+  metrics::WriteValue(out, kServers, gauges.servers);
+  metrics::WriteValue(out, kMembers, gauges.members);
+  metrics::WriteValue(out, kVersion, gauges.config_version);
+  metrics::WriteValue(
+      out, kAge,
+      static_cast<std::uint64_t>(core::ToMilliseconds(gauges.knowledge_age)));
+  metrics::WriteValue(out, kReady, gauges.ready ? 1 : 0);
+  return out;
+}
+
+}  // namespace bambootack::gateway
--- /dev/null
+++ b/src/bambootack/gateway/metrics.h
@@ -0,0 +1,83 @@
+#ifndef BAMBOOTACK_GATEWAY_METRICS_H_
+#define BAMBOOTACK_GATEWAY_METRICS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "bambootack/core/time.h"
+#include "bambootack/gateway/model.h"
+#include "bambootack/gateway/server_pool.h"
+#include "bambootack/metrics/metric_info.h"
+#include "bambootack/metrics/time_histogram.h"
+
+namespace bambootack::gateway {
+
+/// @brief Values that are read when the metrics are written.
+struct GatewayGauges {
+  std::size_t in_flight = 0;
+  std::size_t servers = 0;
+  std::size_t members = 0;
+  std::uint64_t config_version = 0;
+  core::Duration knowledge_age{};
+  bool ready = false;
+};
+
+/// @brief All metrics of a gateway; `docs/metrics.md` lists the same names.
+/// @return One entry for each metric, in the order written.
+[[nodiscard]] std::span<const metrics::MetricInfo> GatewayCatalogue() noexcept;
+
+/// @brief Metrics of one gateway.
+class GatewayMetrics {
+ public:
+  /// @brief Counts an answer to a caller.
+  /// @param error Name of the error kind, or "none" for a server's answer.
+  /// @param status HTTP status.
+  void CountAnswer(std::string_view error, int status);
+
+  /// @brief Counts the end of a send.
+  /// @param end How it ended.
+  void CountSend(SendEnd end);
+
+  /// @brief Counts a change of trust in a server.
+  /// @param to The new state.
+  void CountTrust(ServerTrust to);
+
+  /// @brief Counts a dispatcher that did not reply.
+  void CountSilence() noexcept { ++silences_; }
+
+  /// @brief Counts a call to the platform's store.
+  void CountStoreCall() noexcept { ++store_calls_; }
+
+  /// @brief Adds the time from a request to its answer.
+  /// @param priority Priority of its route.
+  /// @param value The time.
+  void ObserveLatency(int priority, core::Duration value);
+
+  /// @brief Adds the time that a request waited for a slot.
+  /// @param value The time.
+  void ObserveSlotWait(core::Duration value) { slot_wait_.Observe(value); }
+
+  /// @brief Writes all metrics in the Prometheus text format.
+  /// @param gauges Current values.
+  /// @return The text.
+  [[nodiscard]] std::string Text(const GatewayGauges& gauges) const;
+
+ private:
+  using Counts = std::map<std::string, std::uint64_t, std::less<>>;
+
+  Counts answers_;
+  Counts sends_;
+  Counts trust_;
+  std::uint64_t silences_ = 0;
+  std::uint64_t store_calls_ = 0;
+  std::map<int, metrics::TimeHistogram> latency_;
+  metrics::TimeHistogram slot_wait_;
+};
+
+}  // namespace bambootack::gateway
+
+#endif  // BAMBOOTACK_GATEWAY_METRICS_H_
--- a/src/bambootack/metrics/registry.cc
+++ b/src/bambootack/metrics/registry.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include "bambootack/metrics/text.h"
+
 namespace bambootack::metrics {
 namespace {
 
@@ -36,25 +38,6 @@
   return error ? core::AnswerOf(*error).name : "none";
 }
 
-void WriteHead(std::string& out, const MetricInfo& info) {
-  out += fmt::format("# HELP {0} {1}\n# TYPE {0} {2}\n", info.name, info.help,
-                     info.type);
-}
-
-void WriteValue(std::string& out, const MetricInfo& info, std::uint64_t value) {
-  WriteHead(out, info);
-  out += fmt::format("{} {}\n", info.name, value);
-}
-
-template <typename Counts>
-void WriteCounts(std::string& out, const MetricInfo& info,
-                 const Counts& counts) {
-  WriteHead(out, info);
-  for (const auto& [labels, count] : counts) {
-    out += fmt::format("{}{{{}}} {}\n", info.name, labels, count);
-  }
-}
-
 template <typename Histograms>
 void WriteByRank(std::string& out, const MetricInfo& info,
                  const Histograms& histograms) {
--- a/src/bambootack/metrics/registry.h
+++ b/src/bambootack/metrics/registry.h
@@ -14,6 +14,7 @@
 #include "bambootack/core/outcome.h"
 #include "bambootack/core/rank.h"
 #include "bambootack/core/time.h"
+#include "bambootack/metrics/metric_info.h"
 #include "bambootack/metrics/time_histogram.h"
 #include "bambootack/node/events.h"
 #include "bambootack/wire/sealed_frame.h"
@@ -35,13 +36,6 @@
   bool ready = false;
 };
 
-/// @brief Name, type and meaning of a metric.
-struct MetricInfo {
-  std::string_view name;
-  std::string_view type;
-  std::string_view help;
-};
-
 /// @brief All metrics; `docs/metrics.md` lists the same names.
 /// @return One entry for each metric, in the order written.
 [[nodiscard]] std::span<const MetricInfo> Catalogue() noexcept;
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -15,6 +15,7 @@
 #include "bambootack/net/http_client.h"
 #include "bambootack/net/http_server.h"
 #include "bambootack/node/answers.h"
+#include "bambootack/node/operator_api.h"
 #include "gateway/log_writer.h"
 #include "gateway/peers.h"
 #include "platform/bounds.h"
@@ -268,6 +269,7 @@
     http.address = settings_.store_address;
     http.http = std::move(call.http);
     http.timeout = call.timeout;
+    gateway_.Metrics().CountStoreCall();
     client_.Start(
         ++last_store_call_, std::move(http),
         [this, on_answer](net::HttpCallResult result) {
@@ -391,6 +393,7 @@
   net::HttpClient client_;
   std::optional<Peers> peers_;
   net::HttpServer operators_;
+  net::HttpServer metrics_;
   net::HttpServer callers_;
 };
 
--- a/test/bambootack/metrics/registry_test.cc
+++ b/test/bambootack/metrics/registry_test.cc
@@ -6,8 +6,12 @@
 #include <regex>
 #include <set>
 #include <string>
+#include <vector>
+
+#include "bambootack/gateway/metrics.h"
 
 namespace core = bambootack::core;
+namespace gateway = bambootack::gateway;
 namespace metrics = bambootack::metrics;
 namespace node = bambootack::node;
 
@@ -73,7 +77,8 @@
 // type, and against names that change unnoticed.
 BOOST_AUTO_TEST_CASE(metrics_match_their_documentation) {
   const std::string doc = ReadFile("docs/metrics.md");
-  const std::string text = metrics::Registry().Text({});
+  const std::string text =
+      metrics::Registry().Text({}) + gateway::GatewayMetrics().Text({});
   std::set<std::string> documented;
   const std::regex row(R"(\n\| `(bambootack_\w+)` \| (\w+) \|)");
   for (std::sregex_iterator it(doc.begin(), doc.end(), row), end; it != end;
@@ -81,7 +86,11 @@
     documented.insert((*it)[1].str() + " " + (*it)[2].str());
   }
   std::set<std::string> written;
-  for (const metrics::MetricInfo& it : metrics::Catalogue()) {
+  std::vector<metrics::MetricInfo> catalogue(metrics::Catalogue().begin(),
+                                             metrics::Catalogue().end());
+  catalogue.insert(catalogue.end(), gateway::GatewayCatalogue().begin(),
+                   gateway::GatewayCatalogue().end());
+  for (const metrics::MetricInfo& it : catalogue) {
     const std::string line = std::string(it.name) + " " + std::string(it.type);
     written.insert(line);
     BOOST_TEST(text.find("# TYPE " + line + "\n") != std::string::npos, line);
