--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -44,6 +44,9 @@
 }
 
 std::optional<core::ErrorKind> Gateway::Route(Request& request) const {
+  if (refusing_) {
+    return core::ErrorKind::kShuttingDown;
+  }
   if (routes_->Version() == 0) {
     return core::ErrorKind::kNotReady;
   }
--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -133,6 +133,10 @@
   /// @brief Begins a planned stop: answers ask callers to reconnect.
   void Stop();
 
+  /// @brief Refuses new requests from now on. Callers that keep using an open
+  /// connection would otherwise have requests in flight when the process ends.
+  void RefuseNew() noexcept { refusing_ = true; }
+
   /// @brief Tells whether the VM should get new connections.
   /// @return True if it is configured, knows servers and does not stop.
   [[nodiscard]] bool IsReady() const noexcept {
@@ -250,6 +254,7 @@
   std::vector<GatewayAction> actions_;
   std::uint64_t last_send_ = 0;
   bool stopping_ = false;
+  bool refusing_ = false;
 };
 
 }  // namespace bambootack::gateway
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -222,6 +222,9 @@
     if (!stop_at_) {
       return;
     }
+    if (now >= *stop_at_) {
+      gateway_.RefuseNew();
+    }
     if (gateway_.InFlight() > 0) {
       stop_at_ = std::max(*stop_at_, now + kStopLinger);
     }
--- a/test/bambootack/gateway/gateway_test.cc
+++ b/test/bambootack/gateway/gateway_test.cc
@@ -126,6 +126,29 @@
   BOOST_TEST(Status() == 404);
 }
 
+// Found by a hunt: a caller kept using its open connection after the SIGTERM, so
+// that a stopping VM never was idle and cut a request when it ended.
+BOOST_AUTO_TEST_CASE(a_stopping_vm_ends_what_it_has_and_refuses_the_rest) {
+  Configure();
+  Ask(1, "/book/1");
+  const std::uint64_t send = sends[0].send;
+  gateway.Stop();
+  Ask(2, "/book/2");
+  BOOST_TEST(sends.size() == 1U);
+  const std::uint64_t late_send = sends[0].send;
+  gateway.RefuseNew();
+  Ask(3, "/book/3");
+  BOOST_TEST(Status() == 503);
+  BOOST_TEST(*core::FindHeader(answers[0].http.headers, "Connection") ==
+             "close");
+  Serve(send, "1");
+  BOOST_TEST(Status() == 200);
+  BOOST_TEST(*core::FindHeader(answers[0].http.headers, "Connection") ==
+             "close");
+  Serve(late_send, "2");
+  BOOST_TEST(Status() == 200);
+}
+
 BOOST_AUTO_TEST_CASE(lower_versions_do_not_replace_higher_ones) {
   Configure(5);
   GatewayConfig old;
