--- a/src/bambootack/gateway/codec.cc
+++ b/src/bambootack/gateway/codec.cc
@@ -61,7 +61,7 @@
 
 template <typename A>
 void serialize(A& ar, SlotReply& it) {
-  ar(it.key, it.slot);
+  ar(it.key, it.slot, it.knows_servers);
 }
 
 template <typename A>
--- a/src/bambootack/gateway/gateway_sends.cc
+++ b/src/bambootack/gateway/gateway_sends.cc
@@ -339,11 +339,12 @@
 
 void Gateway::On(core::VmId from, SlotRequest& message, core::Time now) {
   std::optional<Slot> slot;
-  if (Count(false, message.repeat, message.need)) {
+  const bool knows = pool_.Knows(message.need.service);
+  if (knows && Count(false, message.repeat, message.need)) {
     slot = pool_.Acquire(message.need, from, now, random_);
   }
   actions_.emplace_back(
-      TellPeer{from, SlotReply{message.key, std::move(slot)}});
+      TellPeer{from, SlotReply{message.key, std::move(slot), knows}});
 }
 
 void Gateway::On(core::VmId from, SlotReply& message, core::Time now) {
@@ -351,7 +352,10 @@
   Request* request = requests_.Find(message.key.request);
   const bool awaited = request != nullptr && request->asked == from &&
                        request->asks == message.key.send;
-  if (awaited && message.slot && !IsUsable(*message.slot)) {
+  if (awaited && !message.knows_servers) {
+    broker_.Suspect(from, now);
+    ChooseAlone(message.key.request, now);
+  } else if (awaited && message.slot && !IsUsable(*message.slot)) {
     GiveBack(from, message.slot->lease, SendEnd::kCancelled, std::nullopt, now);
     ChooseAlone(message.key.request, now);
   } else if (awaited) {
--- a/src/bambootack/gateway/messages.h
+++ b/src/bambootack/gateway/messages.h
@@ -33,6 +33,7 @@
 struct SlotReply {
   SendKey key;
   std::optional<Slot> slot;
+  bool knows_servers = true;  ///< False if the dispatcher has just started.
 };
 
 /// @brief Entry to dispatcher: the slot is free again.
--- a/src/bambootack/gateway/server_pool.h
+++ b/src/bambootack/gateway/server_pool.h
@@ -118,6 +118,13 @@
   [[nodiscard]] std::optional<core::Duration> UsualTime(
       std::string_view route) const;
 
+  /// @brief Tells whether servers of a service are known.
+  /// @param service The service.
+  /// @return True if there is at least one.
+  [[nodiscard]] bool Knows(std::string_view service) const {
+    return by_service_.contains(service);
+  }
+
   /// @brief Number of groups of a service.
   /// @param service The service.
   /// @return The number, at least 1.
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -40,10 +40,13 @@
 /// VMs that start together join the fleet within this time.
 constexpr core::Duration kJoinSpread = std::chrono::milliseconds(800);
 
-/// A VM that hears nothing from others reads the store after this. When the
-/// whole fleet starts, VMs find each other first; else the others know more.
+/// When the whole fleet starts for the first time, VMs find each other before
+/// traffic comes, and one in each failure domain reads the store for all.
 constexpr core::Duration kFirstPatience = std::chrono::milliseconds(4500);
-constexpr core::Duration kRestartPatience = std::chrono::milliseconds(600);
+
+/// A VM that starts again may have callers at once, and reads without delay
+/// but for some milliseconds that spread the calls of a whole fleet.
+constexpr core::Duration kRestartSpread = std::chrono::milliseconds(60);
 
 /// Calls of the store have numbers apart from those of sends.
 constexpr std::uint64_t kFirstStoreCall = 1ULL << 62;
@@ -152,12 +155,7 @@
                           settings_.caller_address, settings_.operator_address,
                           settings_.peer_address, settings_.store_address)},
              Now());
-    const auto spread = static_cast<std::uint64_t>(kJoinSpread.count());
-    const core::Duration delay(random_.Below(spread));
-    join_.Postpone(Now() + (settings_.first_start ? delay : delay / 4));
-    gateway_.Spread().Begin(
-        Now() + delay +
-        (settings_.first_start ? kFirstPatience : kRestartPatience));
+    BeginJoin();
     WaitForSignal();
     Settle();
     control_.run();
@@ -179,6 +177,17 @@
     });
   }
 
+  void BeginJoin() {
+    const core::Duration spread =
+        settings_.first_start ? kJoinSpread : kRestartSpread;
+    const core::Duration delay(
+        random_.Below(static_cast<std::uint64_t>(spread.count())));
+    join_.Postpone(Now() + delay);
+    gateway_.Spread().Begin(
+        Now() + delay +
+        (settings_.first_start ? kFirstPatience : core::Duration{}));
+  }
+
   void BeginStop() {
     if (stop_at_) {
       return;
--- a/test/bambootack/gateway/gateway_test.cc
+++ b/test/bambootack/gateway/gateway_test.cc
@@ -194,6 +194,19 @@
   BOOST_TEST((release.end == SendEnd::kLost));
 }
 
+// Found on days on which all VMs start again: a dispatcher that had no servers
+// yet replied that there is no slot, and requests were refused.
+BOOST_AUTO_TEST_CASE(a_dispatcher_without_servers_does_not_refuse) {
+  Configure();
+  AddPeers();
+  Ask(1, "/book/1");
+  const auto ask = std::get<SlotRequest>(told[0].message);
+  gateway.Receive(told[0].vm, SlotReply{ask.key, std::nullopt, false}, now);
+  Collect();
+  BOOST_TEST(sends.size() == 1U);
+  BOOST_TEST(answers.empty());
+}
+
 // Guards against two servers for one booking when the reply comes late.
 BOOST_AUTO_TEST_CASE(a_late_grant_is_given_back_unused) {
   Configure();
