--- a/src/bambootack/gateway/settings.cc
+++ b/src/bambootack/gateway/settings.cc
@@ -1,11 +1,10 @@
 #include "bambootack/gateway/settings.h"
 
-#include <boost/leaf/error.hpp>
 #include <utility>
 
-#include "bambootack/core/error_kind.h"
 #include "bambootack/toml/address.h"
 #include "bambootack/toml/reader.h"
+#include "bambootack/toml/settings_file.h"
 
 namespace bambootack::gateway {
 namespace {
@@ -39,14 +38,7 @@
 
 boost::leaf::result<GatewaySettings> ParseSettings(std::string_view text,
                                                    std::string_view source) {
-  GatewaySettings result;
-  std::string problem = toml_reader::ReadDocument(
-      text, source, [&](Reader& reader) { result = ReadSettings(reader); });
-  if (!problem.empty()) {
-    return boost::leaf::new_error(
-        core::Error{core::ErrorKind::kSettingsInvalid, std::move(problem)});
-  }
-  return result;
+  return toml_reader::ParseSettingsFile(text, source, &ReadSettings);
 }
 
 }  // namespace bambootack::gateway
--- a/src/bambootack/settings/settings.cc
+++ b/src/bambootack/settings/settings.cc
@@ -1,12 +1,11 @@
 #include "bambootack/settings/settings.h"
 
 #include <algorithm>
-#include <boost/leaf/error.hpp>
 #include <optional>
 
-#include "bambootack/core/error_kind.h"
 #include "bambootack/toml/address.h"
 #include "bambootack/toml/reader.h"
+#include "bambootack/toml/settings_file.h"
 
 namespace bambootack::settings {
 namespace {
@@ -72,14 +71,7 @@
 
 boost::leaf::result<Settings> Parse(std::string_view text,
                                     std::string_view source) {
-  Settings result;
-  std::string problem = toml_reader::ReadDocument(
-      text, source, [&](Reader& reader) { result = ReadSettings(reader); });
-  if (!problem.empty()) {
-    return boost::leaf::new_error(
-        core::Error{core::ErrorKind::kSettingsInvalid, std::move(problem)});
-  }
-  return result;
+  return toml_reader::ParseSettingsFile(text, source, &ReadSettings);
 }
 
 }  // namespace bambootack::settings
--- a/test/bambootack/net/http_client_test.cc
+++ b/test/bambootack/net/http_client_test.cc
@@ -1,6 +1,7 @@
 #include "bambootack/net/http_client.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <future>
 #include <string>
@@ -23,14 +24,18 @@
 const std::string kOk = "HTTP/1.1 200 OK\r\n";
 const std::string kWhole = kOk + "Content-Length: 2\r\n\r\nhi";
 
+net::HttpCallResult Run(net::HttpClient& client, net::HttpCall call) {
+  std::promise<net::HttpCallResult> result;
+  client.Start(1, std::move(call), [&](net::HttpCallResult it) {
+    result.set_value(std::move(it));
+  });
+  return result.get_future().get();
+}
+
 net::HttpCallResult Run(net::HttpClient& client, const std::string& address,
                         core::HttpRequest http = {"POST", "/x", {}, "body"},
                         core::Duration timeout = kLong) {
-  std::promise<net::HttpCallResult> result;
-  client.Start(
-      1, {address, std::move(http), timeout},
-      [&](net::HttpCallResult it) { result.set_value(std::move(it)); });
-  return result.get_future().get();
+  return Run(client, net::HttpCall{address, std::move(http), timeout});
 }
 
 struct AnswerCase {
@@ -201,4 +206,42 @@
                  "\r\nEmpty:\r\nA: b\r\nContent-Length: 0\r\n\r\n");
 }
 
+// Guards against an answer without a length that looks whole although its
+// connection was reset, and against the loss of one that ended in order.
+BOOST_AUTO_TEST_CASE(answers_without_a_length_need_an_orderly_end) {
+  for (const bool reset : {false, true}) {
+    net::HttpClient client(kMaxBody);
+    RawServer server([&](RawServer::Socket& socket, int) {
+      server.ReadRequest(socket);
+      RawServer::Write(socket, kOk + "\r\nhi");
+      if (reset) {
+        RawServer::Reset(socket);
+      }
+    });
+    net::HttpCall call{server.Address(), {"POST", "/x", {}, "body"}, kLong};
+    call.accept_unframed = true;
+    const auto result = Run(client, std::move(call));
+    BOOST_TEST((result.end == AttemptEnd::kAnswered) == !reset);
+    BOOST_TEST(result.answer.body == (reset ? "" : "hi"));
+  }
+}
+
+// Guards against a request on a kept connection where a fresh one was asked
+// for: its end would not tell whether the request ran.
+BOOST_AUTO_TEST_CASE(fresh_connections_carry_one_request) {
+  net::HttpClient client(kMaxBody);
+  std::atomic<int> connections = 0;
+  RawServer server([&](RawServer::Socket& socket, int) {
+    ++connections;
+    server.ReadRequest(socket);
+    RawServer::Write(socket, kWhole);
+  });
+  for (int i = 0; i < 3; ++i) {
+    net::HttpCall call{server.Address(), {"POST", "/x", {}, "body"}, kLong};
+    call.fresh_connection = true;
+    BOOST_TEST((Run(client, std::move(call)).end == AttemptEnd::kAnswered));
+  }
+  BOOST_TEST(connections == 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/bambootack/net/http_server_test.cc
+++ b/test/bambootack/net/http_server_test.cc
@@ -224,4 +224,26 @@
   BOOST_TEST(client.ReadAll().size() < kAnswerBytes);
 }
 
+// Guards against a thread for each server of a process that has one for all.
+BOOST_AUTO_TEST_CASE(a_server_runs_on_a_given_context) {
+  asio::io_context context;
+  std::thread::id handler_thread;
+  net::HttpServer* server = nullptr;
+  net::HttpServer instance(
+      {.address = "127.0.0.1:0", .context = &context},
+      [&](core::CallerId caller, const core::HttpRequest& /*http*/) {
+        handler_thread = std::this_thread::get_id();
+        server->Answer(caller, {200, {}, "here"});
+      },
+      {});
+  server = &instance;
+  std::thread runner([&] { context.run_for(std::chrono::seconds(60)); });
+  RawClient client(instance.Port());
+  client.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  BOOST_TEST(client.ReadUntil("here").find("200 OK") != std::string::npos);
+  BOOST_TEST((handler_thread == runner.get_id()));
+  context.stop();
+  runner.join();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
