--- /dev/null
+++ b/test/bambootack/gateway/codec_test.cc
@@ -0,0 +1,143 @@
+#include "bambootack/gateway/codec.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bambootack/gateway/refusal.h"
+#include "bambootack/gateway/slot_broker.h"
+
+namespace core = bambootack::core;
+namespace gateway = bambootack::gateway;
+namespace leaf = boost::leaf;
+using std::chrono::milliseconds;
+
+namespace {
+
+std::optional<gateway::PeerMessage> Decode(std::string_view bytes) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::optional<gateway::PeerMessage>> {
+        BOOST_LEAF_AUTO(message, gateway::Decode(bytes));
+        return std::optional(std::move(message));
+      },
+      [] { return std::optional<gateway::PeerMessage>(); });
+}
+
+std::vector<gateway::PeerMessage> Messages() {
+  gateway::SlotNeed need;
+  need.service = "desk";
+  need.group = 3;
+  need.route = "visits";
+  need.repeatable = true;
+  need.patience = milliseconds(300);
+  need.excluded = {"a", "b"};
+  gateway::StateUpdate update;
+  update.from = 4;
+  update.position = 9;
+  update.age = milliseconds(20);
+  update.servers = {{{"a", "desk", "10.0.0.1:80", "west", 3, true}, false, 8},
+                    {{"b"}, true, 7}};
+  update.config_version = 12;
+  update.config =
+      gateway::GatewayConfig{12, {{"r", "a.example", "/r/", true}}, {"desk"}};
+  return {gateway::SlotRequest{{{1, 2}, 3}, true, need},
+          gateway::SlotReply{{{1, 2}, 3}, gateway::Slot{7, "a", "10.0.0.1:80"}},
+          gateway::SlotReply{{{1, 2}, 3}, std::nullopt, false},
+          gateway::SlotRelease{7, gateway::SendEnd::kLost,
+                               gateway::ServerLoad{2, 1}},
+          gateway::MemberNotice{"10.0.0.1:7000", "west", true},
+          update,
+          gateway::StateAsk{4, 12}};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(gateway_codec)
+
+BOOST_AUTO_TEST_CASE(messages_survive_the_wire) {
+  for (const gateway::PeerMessage& it : Messages()) {
+    const std::string bytes = gateway::Encode(it);
+    const auto decoded = Decode(bytes);
+    BOOST_TEST_REQUIRE(decoded.has_value());
+    BOOST_TEST(decoded->index() == it.index());
+    BOOST_TEST((gateway::Encode(*decoded) == bytes));
+  }
+}
+
+// Guards against half of a message, and against one with more behind it.
+BOOST_AUTO_TEST_CASE(truncated_and_longer_messages_are_refused) {
+  for (const gateway::PeerMessage& it : Messages()) {
+    const std::string bytes = gateway::Encode(it);
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+      BOOST_TEST(!Decode(bytes.substr(0, n)).has_value());
+    }
+    BOOST_TEST(!Decode(bytes + '\0').has_value());
+  }
+}
+
+RC_BOOST_PROP(any_bytes_are_decoded_or_refused, (const std::string& bytes)) {
+  static_cast<void>(Decode(bytes));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(slot_broker)
+
+// Guards against a VM that is asked again and again though it does not answer,
+// and against one that is left out for good.
+BOOST_AUTO_TEST_CASE(silent_vms_are_passed_over_for_a_growing_time) {
+  core::Time now{core::Duration(1'000'000)};
+  gateway::SlotBroker broker(core::VmId{1});
+  BOOST_TEST((broker.Choose("desk/0", now) == core::VmId{1}));
+  for (std::uint32_t vm = 2; vm <= 20; ++vm) {
+    broker.Add({core::VmId{vm}, {}, "10.0.0.2:1", "west"});
+  }
+  const core::VmId first = broker.Choose("desk/0", now);
+  BOOST_TEST_REQUIRE((first != core::VmId{1}));
+  broker.Suspect(first, now);
+  BOOST_TEST((broker.Choose("desk/0", now) != first));
+  now += milliseconds(500);
+  BOOST_TEST((broker.Choose("desk/0", now) == first));
+  broker.Suspect(first, now);
+  now += milliseconds(500);
+  BOOST_TEST((broker.Choose("desk/0", now) != first));
+  broker.Trust(first);
+  BOOST_TEST((broker.Choose("desk/0", now) == first));
+}
+
+// Guards against work for a VM that is about to stop and still answers.
+BOOST_AUTO_TEST_CASE(leaving_vms_are_not_chosen_until_they_start_again) {
+  core::Time now{core::Duration(1'000'000)};
+  gateway::SlotBroker broker(core::VmId{1});
+  for (std::uint32_t vm = 2; vm <= 20; ++vm) {
+    broker.Add({core::VmId{vm}, {}, "10.0.0.2:1", "west"});
+  }
+  const core::VmId first = broker.Choose("desk/0", now);
+  broker.Leave(first, now);
+  broker.Trust(first);
+  BOOST_TEST((broker.Choose("desk/0", now) != first));
+  BOOST_TEST(broker.IsLeaving(first, now));
+  broker.Welcome(first);
+  BOOST_TEST((broker.Choose("desk/0", now) == first));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(refusal)
+
+// Guards against callers that wait longer than they can.
+BOOST_AUTO_TEST_CASE(the_wait_is_at_most_a_third_of_what_is_left) {
+  const auto wait = [](core::Duration left) {
+    const core::HttpAnswer answer =
+        gateway::RefusalAnswer(core::ErrorKind::kOverloaded, left, true);
+    return std::string(*core::FindHeader(answer.headers, "Retry-After"));
+  };
+  BOOST_TEST(wait(milliseconds(3000)) == "0.200");
+  BOOST_TEST(wait(milliseconds(300)) == "0.100");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
