--- /dev/null
+++ b/src/bambootack/gateway/gateway_peers.cc
@@ -0,0 +1,110 @@
+#include <fmt/format.h>
+
+#include "bambootack/gateway/gateway.h"
+
+// Messages between gateways.
+
+namespace bambootack::gateway {
+namespace {
+
+std::string_view StateName(bool draining, bool gone) {
+  if (gone) {
+    return "gone";
+  }
+  return draining ? "draining" : "ready";
+}
+
+}  // namespace
+
+void Gateway::Receive(core::VmId from, PeerMessage message, core::Time now) {
+  std::visit([&](auto& it) { On(from, it, now); }, message);
+  ReportTrust(now);
+}
+
+void Gateway::On(core::VmId from, SlotRequest& message, core::Time now) {
+  std::optional<Slot> slot;
+  const bool knows = pool_.Knows(message.need.service);
+  if (knows && Count(false, message.repeat, message.need)) {
+    slot = pool_.Acquire(message.need, from, now, random_);
+  }
+  actions_.emplace_back(
+      TellPeer{from, SlotReply{message.key, std::move(slot), knows}});
+}
+
+void Gateway::On(core::VmId from, SlotReply& message, core::Time now) {
+  broker_.Trust(from);
+  Request* request = requests_.Find(message.key.request);
+  const bool awaited = request != nullptr && request->asked == from &&
+                       request->asks == message.key.send;
+  if (awaited && !message.knows_servers) {
+    broker_.Suspect(from, now);
+    ChooseAlone(message.key.request, now);
+  } else if (awaited && message.slot && !IsUsable(*message.slot)) {
+    GiveBack(from, message.slot->lease, SendEnd::kCancelled, std::nullopt, now);
+    ChooseAlone(message.key.request, now);
+  } else if (awaited) {
+    metrics_.ObserveSlotWait(now - request->asked_at);
+    request->asked.reset();
+    UseSlot(message.key.request, std::move(message.slot), from, now);
+  } else if (message.slot) {
+    GiveBack(from, message.slot->lease, SendEnd::kCancelled, std::nullopt, now);
+  }
+}
+
+void Gateway::On(core::VmId /*from*/, SlotRelease& message, core::Time now) {
+  pool_.Release(message.lease, message.end, message.load, now);
+}
+
+void Gateway::On(core::VmId from, MemberNotice& message, core::Time now) {
+  if (message.leaving) {
+    broker_.Leave(from, now);
+    return;
+  }
+  broker_.Welcome(from);
+  if (broker_.Add({from, {}, message.address, message.failure_domain})) {
+    actions_.emplace_back(SetMembers{broker_.Others()});
+  }
+}
+
+void Gateway::Meet(membership::Member member) {
+  const core::VmId vm = member.vm;
+  if (broker_.Add(std::move(member))) {
+    actions_.emplace_back(SetMembers{broker_.Others()});
+    actions_.emplace_back(TellPeer{
+        vm,
+        MemberNotice{options_.peer_address, options_.failure_domain, false}});
+  }
+}
+
+void Gateway::Stop() {
+  stopping_ = true;
+  for (const membership::Member& it : broker_.Others()) {
+    actions_.emplace_back(TellPeer{
+        it.vm,
+        MemberNotice{options_.peer_address, options_.failure_domain, true}});
+  }
+}
+
+void Gateway::On(core::VmId from, StateUpdate& message, core::Time now) {
+  const std::vector<ServerChange> changes = spread_.Receive(from, message, now);
+  if (message.config) {
+    Configure(*std::move(message.config), now);
+  }
+  if (changes.empty()) {
+    return;
+  }
+  for (const ServerChange& it : changes) {
+    Log(log::EventId::kServerChanged,
+        fmt::format("server={} state={} from={} position={} age_ms={}",
+                    it.record.id, StateName(it.record.draining, it.gone),
+                    static_cast<std::uint32_t>(from), message.position,
+                    core::ToMilliseconds(message.age)));
+  }
+  FollowRegistry(now);
+}
+
+void Gateway::On(core::VmId from, StateAsk& message, core::Time now) {
+  spread_.Receive(from, message, now);
+}
+
+}  // namespace bambootack::gateway
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -1,9 +1,7 @@
 #include "gateway/shell.h"
 
 #include <fmt/format.h>
-#include <sodium.h>
 
-#include <array>
 #include <asio.hpp>
 #include <chrono>
 #include <optional>
@@ -11,16 +9,14 @@
 #include <utility>
 
 #include "bambootack/gateway/gateway.h"
-#include "bambootack/net/address.h"
 #include "bambootack/net/http_client.h"
 #include "bambootack/net/http_server.h"
 #include "bambootack/node/answers.h"
 #include "bambootack/node/operator_api.h"
+#include "gateway/identity.h"
 #include "gateway/log_writer.h"
 #include "gateway/peers.h"
-#include "platform/bounds.h"
 #include "platform/fleet_join.h"
-#include "platform/headers.h"
 #include "platform/store_reader.h"
 
 namespace bambootack::gateway_daemon {
@@ -68,39 +64,6 @@
           time.time_since_epoch()));
 }
 
-/// The address of a VM is its number; it is unique in the fleet.
-core::VmId NumberOf(const std::string& address) {
-  const net::Endpoint endpoint = net::SplitAddress(address);
-  return core::VmId{asio::ip::make_address_v4(endpoint.ip).to_uint()};
-}
-
-/// Draws a key of 64 hex digits.
-std::string DrawKey() {
-  if (sodium_init() < 0) {
-    throw std::runtime_error("libsodium cannot be initialized");
-  }
-  std::array<unsigned char, 32> bytes{};
-  randombytes_buf(bytes.data(), bytes.size());
-  std::string key;
-  for (const unsigned char it : bytes) {
-    key += fmt::format("{:02x}", it);
-  }
-  return key;
-}
-
-gateway::GatewayOptions OptionsOf(const gateway::GatewaySettings& settings) {
-  const platform::FleetBounds bounds =
-      platform::ParseBounds(settings.platform_bounds);
-  gateway::GatewayOptions options;
-  options.vm = NumberOf(settings.peer_address);
-  options.peer_address = settings.peer_address;
-  options.failure_domain = settings.failure_domain;
-  options.dialect = platform::Headers();
-  options.repeat_share = bounds.repeat_share;
-  options.repeat_burst = bounds.repeat_slack;
-  return options;
-}
-
 }  // namespace
 
 class Shell::Impl {
