--- a/test/bambootack/gateway/gateway_test.cc
+++ b/test/bambootack/gateway/gateway_test.cc
@@ -248,14 +248,13 @@
 // its VMs cannot hear each other, so that each becomes its own dispatcher.
 BOOST_AUTO_TEST_CASE(repeats_of_vms_alone_stay_within_the_budget_of_the_fleet) {
   constexpr std::uint32_t kVms = 40;
-  constexpr int kReads = 60;
+  constexpr std::uint64_t kReads = 60;
   int repeats = 0;
   for (std::uint32_t vm = 1; vm <= kVms; ++vm) {
     GatewayFixture alone{core::VmId{vm}};
     alone.Configure();
     alone.AddPeers();
-    for (int i = 0; i < kReads; ++i) {
-      const auto caller = static_cast<std::uint64_t>(i + 1);
+    for (std::uint64_t caller = 1; caller <= kReads; ++caller) {
       alone.Ask(caller, "/read/1");
       for (int tries = 0; tries < 3 && alone.answers.empty(); ++tries) {
         while (alone.sends.empty() && alone.answers.empty()) {
