--- a/test/bambootack/net/http_client_test.cc
+++ b/test/bambootack/net/http_client_test.cc
@@ -220,7 +220,7 @@
     });
     net::HttpCall call{server.Address(), {"POST", "/x", {}, "body"}, kLong};
     call.accept_unframed = true;
-    const auto result = Run(client, std::move(call));
+    const auto result = Run(client, call);
     BOOST_TEST((result.end == AttemptEnd::kAnswered) == !reset);
     BOOST_TEST(result.answer.body == (reset ? "" : "hi"));
   }
@@ -239,7 +239,7 @@
   for (int i = 0; i < 3; ++i) {
     net::HttpCall call{server.Address(), {"POST", "/x", {}, "body"}, kLong};
     call.fresh_connection = true;
-    BOOST_TEST((Run(client, std::move(call)).end == AttemptEnd::kAnswered));
+    BOOST_TEST((Run(client, call).end == AttemptEnd::kAnswered));
   }
   BOOST_TEST(connections == 3);
 }
