Let handlers on a given context outlive their HTTP server

Found by a_server_runs_on_a_given_context under AddressSanitizer: the handler of a pending write used the table of requests of a server that was gone, as at the end of the gateway's process.

--- a/src/bambootack/net/http_server.cc
+++ b/src/bambootack/net/http_server.cc
@@ -31,8 +31,9 @@
 /// Reports closed connections of one server.
 class ConnectionListener {
  public:
-  ConnectionListener(PendingRequests& pending, HttpServer::OnGone on_gone)
-      : pending_(pending), on_gone_(std::move(on_gone)) {}
+  ConnectionListener(std::shared_ptr<PendingRequests> pending,
+                     HttpServer::OnGone on_gone)
+      : pending_(std::move(pending)), on_gone_(std::move(on_gone)) {}
 
   void state_changed(
       const restinio::connection_state::notice_t& notice) noexcept {
@@ -42,7 +43,8 @@
     if (!closed) {
       return;
     }
-    for (const core::CallerId caller : pending_.Close(notice.connection_id())) {
+    for (const core::CallerId caller :
+         pending_->Close(notice.connection_id())) {
       if (on_gone_) {
         on_gone_(caller);
       }
@@ -50,7 +52,7 @@
   }
 
  private:
-  PendingRequests& pending_;
+  std::shared_ptr<PendingRequests> pending_;
   HttpServer::OnGone on_gone_;
 };
 
@@ -146,7 +148,7 @@
       server_.close_sync();
     }
     // Requests hold sockets, which must not outlive the server's context.
-    pending_.Clear();
+    pending_->Clear();
   }
 
   Impl(const Impl&) = delete;
@@ -195,7 +197,7 @@
   }
 
   void Accept(const restinio::request_handle_t& request) {
-    const core::CallerId caller = pending_.Add(request);
+    const core::CallerId caller = pending_->Add(request);
     core::HttpRequest http = ToRequest(*request);
     if (const auto kind = CheckRequest(http)) {
       const bool keyed =
@@ -207,7 +209,7 @@
   }
 
   void Write(core::CallerId caller, core::HttpAnswer answer, bool close) {
-    const auto request = pending_.Take(caller);
+    const auto request = pending_->Take(caller);
     if (!request) {
       return;
     }
@@ -227,16 +229,18 @@
     response.set_body(std::move(answer.body));
     const auto connection = request->connection_id();
     unsent_->Add();
-    response.done(
-        [this, connection, unsent = unsent_](const asio::error_code&) {
-          pending_.SetWritten(connection);
-          unsent->Remove();
-        });
+    response.done([connection, pending = pending_,
+                   unsent = unsent_](const asio::error_code&) {
+      pending->SetWritten(connection);
+      unsent->Remove();
+    });
   }
 
   OnRequest on_request_;
   std::uint16_t port_ = 0;
-  PendingRequests pending_;
+  /// Shared with handlers on the context, which may outlive this server.
+  std::shared_ptr<PendingRequests> pending_ =
+      std::make_shared<PendingRequests>();
   std::shared_ptr<UnsentAnswers> unsent_ = std::make_shared<UnsentAnswers>();
   std::shared_ptr<ConnectionListener> listener_;
   Server server_;
--- a/src/bambootack/net/strict_parsing.h
+++ b/src/bambootack/net/strict_parsing.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstddef>
+#include <memory>
 #include <restinio/all.hpp>
 #include <string>
 #include <string_view>
@@ -114,7 +115,8 @@
 /// it does just before it closes the connection on the same thread.
 class RefusalLogger {
  public:
-  explicit RefusalLogger(const PendingRequests& pending) : pending_(pending) {}
+  explicit RefusalLogger(std::shared_ptr<const PendingRequests> pending)
+      : pending_(std::move(pending)) {}
 
   template <typename Builder>
   void trace(Builder&& /*builder*/) const noexcept {}  // NOLINT
@@ -139,7 +141,7 @@
     PendingRequests::Connection connection = 0;
     std::from_chars(text.data() + kLead.size(), text.data() + text.size(),
                     connection);
-    if (pending_.IsWaiting(connection)) {
+    if (pending_->IsWaiting(connection)) {
       return {};
     }
     const bool body =
@@ -151,7 +153,7 @@
                       !body));
   }
 
-  const PendingRequests& pending_;
+  std::shared_ptr<const PendingRequests> pending_;
 };
 
 /// Selects the stricter parser callbacks below.
