--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -213,6 +213,8 @@
   [[nodiscard]] bool TryNextGroup(core::Handle handle, core::Time now);
   void AskForSlot(core::Handle handle, core::Time now);
   void ChooseAlone(core::Handle handle, core::Time now);
+  void ChooseHere(core::Handle handle, bool alone, const SlotNeed& need,
+                  core::Time now);
   [[nodiscard]] bool IsUsable(const Slot& slot) const;
   void UseSlot(core::Handle handle, std::optional<Slot> slot,
                core::VmId granter, core::Time now);
--- a/src/bambootack/gateway/gateway_sends.cc
+++ b/src/bambootack/gateway/gateway_sends.cc
@@ -75,11 +75,7 @@
   SlotNeed need = NeedOf(request, now);
   const core::VmId dispatcher = broker_.Choose(DispatchKey(need), now);
   if (dispatcher == options_.vm) {
-    const bool allowed = Count(false, request.arrivals > 0, need);
-    UseSlot(
-        handle,
-        allowed ? pool_.Acquire(need, options_.vm, now, random_) : std::nullopt,
-        options_.vm, now);
+    ChooseHere(handle, false, need, now);
     return;
   }
   request.asked = dispatcher;
@@ -94,8 +90,14 @@
 void Gateway::ChooseAlone(core::Handle handle, core::Time now) {
   Request& request = *requests_.Find(handle);
   request.asked.reset();
-  const SlotNeed need = NeedOf(request, now);
-  const bool allowed = Count(true, request.arrivals > 0, need);
+  ChooseHere(handle, true, NeedOf(request, now), now);
+}
+
+/// Chooses by the pool of this VM, as dispatcher or alone.
+void Gateway::ChooseHere(core::Handle handle, bool alone, const SlotNeed& need,
+                         core::Time now) {
+  const Request& request = *requests_.Find(handle);
+  const bool allowed = Count(alone, request.arrivals > 0, need);
   UseSlot(
       handle,
       allowed ? pool_.Acquire(need, options_.vm, now, random_) : std::nullopt,
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -350,6 +350,11 @@
                     gateway_.IsReady()
                         ? node::TextAnswer(200, "ready\n")
                         : node::OperatorError(core::ErrorKind::kNotReady, ""));
+    } else if (path == "/metrics") {
+      server.Answer(
+          caller,
+          node::TextAnswer(200, gateway_.Metrics().Text(gateway_.Gauges(Now())),
+                           node::kMetricsType));
     } else {
       server.Answer(
           caller, node::OperatorError(core::ErrorKind::kUnknownCommand, path));
