--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "bambootack/gateway/gateway.h"
+#include "bambootack/gateway/planned_stop.h"
 #include "bambootack/net/http_client.h"
 #include "bambootack/net/http_server.h"
 #include "bambootack/node/answers.h"
@@ -49,10 +50,6 @@
 
 constexpr auto kFlushLimit = std::chrono::milliseconds(200);
 
-/// How long a stopping gateway stays idle before it exits, so that its last
-/// answers leave the sockets.
-constexpr core::Duration kStopLinger = std::chrono::milliseconds(200);
-
 core::Time Now() {
   return core::Time(std::chrono::duration_cast<core::Duration>(
       std::chrono::steady_clock::now().time_since_epoch()));
@@ -152,15 +149,14 @@
   }
 
   void BeginStop() {
-    if (stop_at_) {
+    if (stop_) {
       return;
     }
     log_.Add({log::EventId::kStopping,
               fmt::format("in_flight={}", gateway_.InFlight())},
              Now());
     gateway_.Stop();
-    stop_at_ = Now() + settings_.stop_grace;
-    stop_by_ = Now() + settings_.stop_limit;
+    stop_.emplace(Now(), settings_.stop_grace, settings_.stop_limit);
   }
 
   /// Carries out what the last events led to, and sets the timer.
@@ -196,16 +192,14 @@
   }
 
   void EndStopWhenIdle(core::Time now) {
-    if (!stop_at_) {
+    if (!stop_) {
       return;
     }
-    if (now >= *stop_at_) {
+    stop_->Note(gateway_.InFlight(), now);
+    if (stop_->RefusesNew(now)) {
       gateway_.RefuseNew();
     }
-    if (gateway_.InFlight() > 0) {
-      stop_at_ = std::max(*stop_at_, now + kStopLinger);
-    }
-    if (now < *stop_at_ && now < stop_by_) {
+    if (!stop_->IsOver(now)) {
       return;
     }
     const bool cut = gateway_.InFlight() > 0;
@@ -226,8 +220,8 @@
     };
     earlier(store_.NextDue(now));
     earlier(join_.NextDue());
-    if (stop_at_) {
-      earlier(std::min(*stop_at_, stop_by_));
+    if (stop_) {
+      earlier(stop_->NextDue(now));
     }
     if (!due) {
       timer_.cancel();
@@ -370,8 +364,7 @@
   platform::FleetJoin join_;
   asio::steady_timer timer_;
   asio::signal_set signals_;
-  std::optional<core::Time> stop_at_;
-  core::Time stop_by_{};
+  std::optional<gateway::PlannedStop> stop_;
   int exit_code_ = 0;
   bool announced_ready_ = false;
   std::uint64_t last_store_call_ = kFirstStoreCall;
