Let datagrams wait for the session of their receiver; answer every hello that asks

A hello now tells whether its sender lacks the session of the receiver and is answered just then; datagrams wait for 100 ms.

--- a/src/bambootack/net/peer_transport.cc
+++ b/src/bambootack/net/peer_transport.cc
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <asio.hpp>
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -25,8 +26,18 @@
 constexpr std::size_t kMaxQueuedBytes = 32 * 1024 * 1024;
 constexpr std::size_t kMaxDatagramBytes = 2048;
 
-/// Least time between two hellos that are sent to a VM as datagrams.
-constexpr auto kHelloInterval = std::chrono::seconds(1);
+/// Least time between two hellos that ask a VM for its session. A VM that has
+/// just started may not have heard the first one.
+constexpr auto kAskInterval = std::chrono::milliseconds(250);
+
+/// Least time between two hellos to a VM that lacks the session of this
+/// process; it may go on sending for some round trips.
+constexpr auto kAnswerInterval = std::chrono::milliseconds(20);
+
+/// Datagrams that wait for the session of their receiver. Most are questions,
+/// whose askers wait for 25 ms.
+constexpr auto kDatagramLife = std::chrono::milliseconds(100);
+constexpr std::size_t kMaxWaitingDatagrams = 8;
 
 /// A connection whose data is not confirmed for this long has gone silent.
 constexpr unsigned kSilentMs = 700;
@@ -77,7 +88,7 @@
   Incoming(tcp::socket socket, const PeerCallbacks& callbacks)
       : socket_(std::move(socket)),
         callbacks_(callbacks),
-        hello_(WithLength(callbacks.hello())) {}
+        hello_(WithLength(callbacks.hello(core::kNoVm))) {}
 
   void Start() {
     asio::async_write(
@@ -307,12 +318,17 @@
   }
 
   void SendDatagram(core::VmId vm, std::string message) {
-    asio::post(io_, [this, vm, message = std::move(message)] {
+    asio::post(io_, [this, vm, message = std::move(message)]() mutable {
       if (const auto frame = callbacks_.seal(vm, message)) {
         Transmit(vm, *frame);
-      } else {
-        SendHello(vm);
+        return;
+      }
+      SendHello(vm, hello_asked_, kAskInterval);
+      auto& waiting = waiting_[vm];
+      if (waiting.size() >= kMaxWaitingDatagrams) {
+        waiting.pop_front();
       }
+      waiting.push_back({std::move(message), Clock::now() + kDatagramLife});
     });
   }
 
@@ -321,6 +337,14 @@
   }
 
  private:
+  using Clock = std::chrono::steady_clock;
+
+  /// A datagram for a VM whose session is unknown.
+  struct Waiting {
+    std::string message;
+    Clock::time_point until;
+  };
+
   void ReceiveDatagram() {
     datagrams_.async_receive_from(asio::buffer(datagram_), datagram_sender_,
                                   [this](std::error_code ec, std::size_t n) {
@@ -332,20 +356,37 @@
   }
 
   void Accept(std::string datagram) {
-    const core::VmId stranger = callbacks_.on_datagram(std::move(datagram));
-    if (stranger != core::kNoVm) {
-      SendHello(stranger);
+    const DatagramSender sender = callbacks_.on_datagram(std::move(datagram));
+    if (sender.needs_hello) {
+      SendHello(sender.vm, hello_answered_, kAnswerInterval);
+    }
+    SendWaiting(sender.vm);
+  }
+
+  void SendWaiting(core::VmId vm) {
+    const auto found = waiting_.find(vm);
+    if (found == waiting_.end()) {
+      return;
+    }
+    const std::deque<Waiting> waiting = std::move(found->second);
+    waiting_.erase(found);
+    const Clock::time_point now = Clock::now();
+    for (const Waiting& it : waiting) {
+      const auto frame =
+          now < it.until ? callbacks_.seal(vm, it.message) : std::nullopt;
+      if (frame) {
+        Transmit(vm, *frame);
+      }
     }
   }
 
-  /// The answer to a hello falls within the interval of the hello that was
-  /// sent, so that two VMs do not exchange hellos without end.
-  void SendHello(core::VmId vm) {
-    const auto now = std::chrono::steady_clock::now();
-    const auto [it, inserted] = hello_sent_.try_emplace(vm, now);
-    if (inserted || now - it->second >= kHelloInterval) {
+  void SendHello(core::VmId vm, std::map<core::VmId, Clock::time_point>& sent,
+                 Clock::duration interval) {
+    const Clock::time_point now = Clock::now();
+    const auto [it, inserted] = sent.try_emplace(vm, now);
+    if (inserted || now - it->second >= interval) {
       it->second = now;
-      Transmit(vm, callbacks_.hello());
+      Transmit(vm, callbacks_.hello(vm));
     }
   }
 
@@ -399,7 +440,9 @@
   udp::socket datagrams_;
   udp::endpoint datagram_sender_;
   std::array<char, kMaxDatagramBytes> datagram_{};
-  std::map<core::VmId, std::chrono::steady_clock::time_point> hello_sent_;
+  std::map<core::VmId, Clock::time_point> hello_asked_;
+  std::map<core::VmId, Clock::time_point> hello_answered_;
+  std::map<core::VmId, std::deque<Waiting>> waiting_;
   std::map<core::VmId, std::string> addresses_;
   std::map<core::VmId, std::shared_ptr<Outgoing>> connections_;
   std::thread thread_;
--- a/src/bambootack/net/peer_transport.h
+++ b/src/bambootack/net/peer_transport.h
@@ -14,17 +14,24 @@
 
 namespace bambootack::net {
 
+/// @brief What a datagram tells of its sender.
+struct DatagramSender {
+  core::VmId vm = core::kNoVm;  ///< Set once it is authenticated.
+  bool needs_hello = false;     ///< It lacks the session of this process.
+};
+
 /// @brief Security of the connections and receivers of their results. All are
 /// called on the transport's thread.
 struct PeerCallbacks {
-  /// Frame that an accepted connection begins with.
-  std::function<std::string()> hello;
+  /// Frame that tells a VM, or with `kNoVm` any one, the session of this
+  /// process.
+  std::function<std::string(core::VmId)> hello;
   /// Checks the first frame of a connection to a VM.
   std::function<bool(core::VmId, std::string_view)> accept_hello;
   /// Seals a message when it is written; nothing ends the connection.
   std::function<std::optional<std::string>(core::VmId, std::string_view)> seal;
-  /// Receives a datagram; returns a VM that needs a hello, if any.
-  std::function<core::VmId(std::string)> on_datagram;
+  /// Receives a datagram.
+  std::function<DatagramSender(std::string)> on_datagram;
   /// Receives a frame; false closes its connection.
   std::function<bool(std::string)> on_frame;
   /// The connection to a VM has failed.
@@ -61,8 +68,8 @@
   [[nodiscard]] std::uint16_t Port() const;
 
   /// @brief Seals and sends a message as one UDP datagram, which may be lost
-  /// without notice. While the receiver's session is unknown, a hello is sent
-  /// instead.
+  /// without notice. While the receiver's session is unknown, a hello asks for
+  /// it, and the message waits for a short time.
   /// @param vm Receiver.
   /// @param message Encoded message.
   void SendDatagram(core::VmId vm, std::string message);
--- a/src/bambootack/wire/sealed_frame.cc
+++ b/src/bambootack/wire/sealed_frame.cc
@@ -131,9 +131,13 @@
   return frame;
 }
 
-std::string FrameGuard::SealHello(const Nonce& nonce) {
+std::string FrameGuard::SealHello(const Nonce& nonce, core::VmId receiver) {
   Header header;
   header.kind = FrameKind::kHello;
+  if (const auto it = senders_.find(receiver); it != senders_.end()) {
+    header.receiver = receiver;
+    header.receiver_session = it->second.session;
+  }
   return SealWith(header, {}, nonce);
 }
 
@@ -165,6 +169,8 @@
     return RefusedFrame{FrameFault::kUnknownKey};
   }
   OpenedFrame opened{header->kind, header->sender, header->incarnation, {}};
+  opened.asks_hello = hello && (header->receiver != self_.vm ||
+                                header->receiver_session != self_.session);
   opened.message.resize(frame.size() - kSealOverheadBytes);
   const unsigned char* nonce = Bytes(frame) + kHeaderBytes - kNonceBytes;
   const int status = crypto_aead_xchacha20poly1305_ietf_decrypt(
--- a/src/bambootack/wire/sealed_frame.h
+++ b/src/bambootack/wire/sealed_frame.h
@@ -65,7 +65,8 @@
   FrameKind kind = FrameKind::kMessage;
   core::VmId sender{};
   core::Incarnation incarnation{};
-  std::string message;  ///< Empty for a hello.
+  std::string message;      ///< Empty for a hello.
+  bool asks_hello = false;  ///< A hello whose sender lacks this session.
 };
 
 /// @brief A refused frame.
@@ -92,8 +93,11 @@
 
   /// @brief Seals a hello, which makes its receiver able to send here.
   /// @param nonce Random bytes, never used before.
+  /// @param receiver VM that gets it. Unless its session is known, the hello
+  /// asks for one in return.
   /// @return The frame.
-  [[nodiscard]] std::string SealHello(const Nonce& nonce);
+  [[nodiscard]] std::string SealHello(const Nonce& nonce,
+                                      core::VmId receiver = core::kNoVm);
 
   /// @brief Seals a message.
   /// @param receiver VM that may open it.
--- a/src/daemon/peer_security.cc
+++ b/src/daemon/peer_security.cc
@@ -33,8 +33,8 @@
 PeerSecurity::Received DecodeFrom(const wire::OpenedFrame& frame) {
   namespace leaf = boost::leaf;
   const auto reject = [&](std::string detail) {
-    return PeerSecurity::Received(
-        FrameRejection{std::nullopt, frame.sender, std::move(detail), false});
+    return PeerSecurity::Received(FrameRejection{
+        std::nullopt, frame.sender, std::move(detail), false, false});
   };
   return leaf::try_handle_all(
       [&]() -> leaf::result<PeerSecurity::Received> {
@@ -55,9 +55,9 @@
                            core::Incarnation incarnation)
     : guard_({vm, incarnation, DrawSession()}, keys) {}
 
-std::string PeerSecurity::Hello() {
+std::string PeerSecurity::Hello(core::VmId receiver) {
   const std::scoped_lock lock(mutex_);
-  return guard_.SealHello(DrawNonce());
+  return guard_.SealHello(DrawNonce(), receiver);
 }
 
 bool PeerSecurity::AcceptHello(core::VmId vm, std::string_view frame) {
@@ -83,11 +83,13 @@
   if (const auto* refused = std::get_if<wire::RefusedFrame>(&opened)) {
     return FrameRejection{
         refused->fault, refused->sender,
-        std::string(wire::kFrameFaultNames.Name(refused->fault)), false};
+        std::string(wire::kFrameFaultNames.Name(refused->fault)), false,
+        refused->fault == wire::FrameFault::kWrongSession};
   }
   auto& it = std::get<wire::OpenedFrame>(opened);
   if (it.kind == wire::FrameKind::kHello) {
-    return FrameRejection{std::nullopt, it.sender, "hello", true};
+    return FrameRejection{std::nullopt, it.sender, "hello", true,
+                          it.asks_hello};
   }
   return std::move(it);
 }
--- a/src/daemon/peer_security.h
+++ b/src/daemon/peer_security.h
@@ -18,7 +18,8 @@
   std::optional<wire::FrameFault> fault;  ///< Empty if only decoding failed.
   core::VmId sender = core::kNoVm;        ///< Set once authenticated.
   std::string detail;
-  bool hello = false;  ///< The frame told the sender's session.
+  bool hello = false;        ///< The frame told the sender's session.
+  bool needs_hello = false;  ///< The sender lacks the session of this process.
 };
 
 /// @brief Seals, opens and decodes the messages of this process, for TCP and
@@ -36,8 +37,9 @@
                core::Incarnation incarnation);
 
   /// @brief Frame that enables its receiver to send to this process.
+  /// @param receiver VM that gets it, if it is known.
   /// @return The frame.
-  [[nodiscard]] std::string Hello();
+  [[nodiscard]] std::string Hello(core::VmId receiver);
 
   /// @brief Learns the session of a VM from its hello.
   /// @param vm VM that is expected to have sent it.
--- a/src/daemon/shell.cc
+++ b/src/daemon/shell.cc
@@ -124,7 +124,7 @@
 
   net::PeerCallbacks PeerHooks() {
     net::PeerCallbacks hooks;
-    hooks.hello = [this] { return security_.Hello(); };
+    hooks.hello = [this](core::VmId vm) { return security_.Hello(vm); };
     hooks.accept_hello = [this](core::VmId vm, std::string_view frame) {
       return security_.AcceptHello(vm, frame);
     };
@@ -155,21 +155,19 @@
     return !rejection.fault.has_value();
   }
 
-  /// Returns the sender if it lacks the session of this process or sent its
-  /// own, so that it gets a hello.
-  core::VmId OnDatagram(const std::string& frame) {
+  net::DatagramSender OnDatagram(const std::string& frame) {
     PeerSecurity::Received received = security_.Open(frame);
     if (auto* envelope = std::get_if<wire::Envelope>(&received)) {
+      const core::VmId sender = envelope->sender;
       Post(node::PeerMessage{std::move(*envelope)});
-      return core::kNoVm;
+      return {sender, false};
     }
     const auto& rejection = std::get<FrameRejection>(received);
-    if (rejection.hello || rejection.fault == wire::FrameFault::kWrongSession) {
-      return rejection.sender;
+    if (!rejection.hello && !rejection.needs_hello) {
+      Post(node::FrameRejected{rejection.sender, rejection.fault,
+                               rejection.detail});
     }
-    Post(node::FrameRejected{rejection.sender, rejection.fault,
-                             rejection.detail});
-    return core::kNoVm;
+    return {rejection.sender, rejection.needs_hello};
   }
 
   void WaitForTick() {
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -42,7 +42,7 @@
  private:
   net::PeerCallbacks Hooks() {
     net::PeerCallbacks hooks;
-    hooks.hello = [this] { return security_.Hello(); };
+    hooks.hello = [this](core::VmId vm) { return security_.Hello(vm); };
     hooks.accept_hello = [this](core::VmId vm, std::string_view frame) {
       return security_.AcceptHello(vm, frame);
     };
@@ -50,7 +50,7 @@
       return security_.Seal(vm, bytes);
     };
     hooks.on_frame = [this](const std::string& frame) {
-      return Open(frame) == core::kNoVm;
+      return !Open(frame).needs_hello;
     };
     hooks.on_datagram = [this](const std::string& frame) {
       return Open(frame);
@@ -60,20 +60,17 @@
     return hooks;
   }
 
-  /// Returns a VM that needs a hello, if any.
-  core::VmId Open(std::string_view frame) {
+  net::DatagramSender Open(std::string_view frame) {
     daemon::PeerSecurity::Frame opened = security_.OpenFrame(frame);
     if (const auto* it = std::get_if<wire::OpenedFrame>(&opened)) {
       Decode(*it);
-      return core::kNoVm;
+      return {it->sender, false};
     }
     const auto& rejection = std::get<daemon::FrameRejection>(opened);
     if (!rejection.hello) {
       on_rejected_(rejection.sender, rejection.detail);
     }
-    return rejection.hello || rejection.fault == wire::FrameFault::kWrongSession
-               ? rejection.sender
-               : core::kNoVm;
+    return {rejection.sender, rejection.needs_hello};
   }
 
   /// A message that cannot be decoded, as a newer version may send, is dropped.
--- a/test/bambootack/net/peer_transport_test.cc
+++ b/test/bambootack/net/peer_transport_test.cc
@@ -1,6 +1,7 @@
 #include "bambootack/net/peer_transport.h"
 
 #include <asio.hpp>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <future>
 #include <mutex>
@@ -37,11 +38,14 @@
 
   std::promise<std::string> message;
   std::promise<core::VmId> lost;
+  std::atomic<int> hellos = 0;
 
  private:
   net::PeerCallbacks Callbacks() {
     net::PeerCallbacks it;
-    it.hello = [this] { return guard_.SealHello(NextNonce()); };
+    it.hello = [this](core::VmId vm) {
+      return guard_.SealHello(NextNonce(), vm);
+    };
     it.accept_hello = [this](core::VmId, std::string_view frame) {
       return std::holds_alternative<wire::OpenedFrame>(guard_.Open(frame));
     };
@@ -56,6 +60,19 @@
       }
       return false;
     };
+    it.on_datagram = [this](const std::string& frame) {
+      const auto opened = guard_.Open(frame);
+      const auto* it = std::get_if<wire::OpenedFrame>(&opened);
+      if (it == nullptr) {
+        return net::DatagramSender{};
+      }
+      if (it->kind == wire::FrameKind::kMessage) {
+        message.set_value(it->message);
+      } else {
+        ++hellos;
+      }
+      return net::DatagramSender{it->sender, it->asks_hello};
+    };
     it.on_lost = [this](core::VmId vm) { lost.set_value(vm); };
     return it;
   }
@@ -81,6 +98,23 @@
   BOOST_TEST(b.message.get_future().get() == "hello 2");
 }
 
+// Guards against a first datagram that is lost because the receiver's session
+// is not known yet: after a start of all VMs each of them took its dispatchers
+// for silent.
+BOOST_AUTO_TEST_CASE(first_datagram_arrives) {
+  Vm a(1, kKeyA);
+  Vm b(2, kKeyA);
+  a.Connect(2, b.Transport().Port());
+  b.Connect(1, a.Transport().Port());
+  a.Transport().SendDatagram(core::VmId{2}, "need a slot");
+  BOOST_TEST(b.message.get_future().get() == "need a slot");
+  b.Transport().SendDatagram(core::VmId{1}, "slot 3");
+  BOOST_TEST(a.message.get_future().get() == "slot 3");
+  // One hello each way: the answer to a hello asks for nothing.
+  BOOST_TEST(a.hellos == 1);
+  BOOST_TEST(b.hellos == 1);
+}
+
 // Guards against talking to a process that lacks the key or is another VM.
 BOOST_AUTO_TEST_CASE(connection_without_a_valid_hello_is_lost) {
   Vm a(1, kKeyA);
--- a/test/bambootack/wire/sealed_frame_test.cc
+++ b/test/bambootack/wire/sealed_frame_test.cc
@@ -50,6 +50,20 @@
 
 BOOST_AUTO_TEST_SUITE(sealed_frame)
 
+// Guards against hellos that go to and fro without end, and against a process
+// that starts anew and is not told the sessions of the others.
+BOOST_AUTO_TEST_CASE(a_hello_asks_for_one_while_a_session_is_unknown) {
+  FrameGuard a = Guard(1, 5);
+  FrameGuard b = Guard(2, 5);
+  const auto asks = [](FrameGuard& guard, const std::string& frame) {
+    return std::get<wire::OpenedFrame>(guard.Open(frame)).asks_hello;
+  };
+  BOOST_TEST(asks(b, a.SealHello(NextNonce(), core::VmId{2})));
+  BOOST_TEST(!asks(a, b.SealHello(NextNonce(), core::VmId{1})));
+  FrameGuard again = Guard(1, 6);
+  BOOST_TEST(asks(again, b.SealHello(NextNonce(), core::VmId{1})));
+}
+
 BOOST_AUTO_TEST_CASE(message_is_opened_once_by_its_receiver) {
   FrameGuard a = Guard(1, 5);
   FrameGuard b = Guard(2, 5);
