--- a/src/bambootack/gateway/codec.cc
+++ b/src/bambootack/gateway/codec.cc
@@ -41,7 +41,7 @@
 template <typename A>
 void serialize(A& ar, SlotNeed& it) {
   ar(it.service, it.group, it.route, it.repeatable, it.priority, it.patience,
-     it.failure_domain, it.excluded);
+     it.left, it.failure_domain, it.excluded);
 }
 
 template <typename A>
--- a/src/bambootack/gateway/gateway_sends.cc
+++ b/src/bambootack/gateway/gateway_sends.cc
@@ -63,6 +63,7 @@
   const auto left =
       std::chrono::duration_cast<core::Duration>(request.deadline - now);
   need.patience = std::min(request.route->target, left) / kPatienceDivisor;
+  need.left = left;
   need.excluded = request.failed;
   for (const auto& [server, until] : unreachable_until_) {
     if (now < until) {
--- a/src/bambootack/gateway/server_pool.h
+++ b/src/bambootack/gateway/server_pool.h
@@ -40,6 +40,7 @@
   bool repeatable = false;  ///< It may be sent again if this send is lost.
   int priority = 0;
   core::Duration patience{};   ///< Longest useful wait in a server's queue.
+  core::Duration left{};       ///< Time until the request is given up.
   std::string failure_domain;  ///< Preferred among equals.
   std::vector<std::string> excluded;  ///< Servers that the asker cannot use.
   /// The pool sees the requests of the whole fleet, so that a server without
@@ -176,6 +177,7 @@
     core::VmId holder{};
     core::Time start{};
     core::Time overdue_at{};  ///< When the request takes unusually long.
+    core::Time expires_at{};  ///< When its holder has surely given it up.
     bool trial = false;
   };
 
@@ -197,6 +199,8 @@
   [[nodiscard]] double LoadOf(const Row& row, core::Time now) const;
   [[nodiscard]] bool HasOverdue(const Row& row, core::Time now) const;
   [[nodiscard]] bool IsUnproven(const Row& row, core::Time now) const;
+  [[nodiscard]] Preference RateOnTrial(const Row& row, const SlotNeed& need,
+                                       bool overdue, core::Time now) const;
   [[nodiscard]] Preference RateTrusted(const Row& row, const SlotNeed& need,
                                        double load, core::Time now) const;
   [[nodiscard]] double QueueLimit(const Row& row, const SlotNeed& need) const;
@@ -215,6 +219,7 @@
       by_service_;
   std::map<std::uint64_t, Lease> leases_;
   std::set<std::pair<std::string, std::uint64_t>> by_server_;
+  std::set<std::pair<core::Time, std::uint64_t>> by_expiry_;
   std::map<std::string, core::Duration, std::less<>> usual_;
   std::vector<TrustChange> changes_;
   std::uint64_t last_lease_ = 0;
--- a/test/bambootack/gateway/codec_test.cc
+++ b/test/bambootack/gateway/codec_test.cc
@@ -34,6 +34,7 @@
   need.route = "visits";
   need.repeatable = true;
   need.patience = milliseconds(300);
+  need.left = milliseconds(900);
   need.excluded = {"a", "b"};
   gateway::StateUpdate update;
   update.from = 4;
