Keep the lines of requests at a steady rate under load

Found while tracing FLOOR: a VM with more than ten requests in a second doubled the window of their events up to 64 s and wrote 41 of 654 sends of two seconds, so that a complaint could not be followed. Lines of requests are limited to 50 a second and event now; lines that a fault repeats back off as before. The test on their rate fails with the old limit (10 lines in each window of up to 64 s).

--- a/src/bambootack/log/event.h
+++ b/src/bambootack/log/event.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "bambootack/core/enum_names.h"
 #include "bambootack/settings/settings.h"
 
 namespace bambootack::log {
@@ -54,14 +55,24 @@
   kRequestWaited = 713,
 };
 
+/// @brief How often an event is written; see `LineLimiter`.
+enum class LineLimit : std::uint8_t {
+  kNone,     ///< Each time.
+  kFault,    ///< A fault can repeat it: seldom while it does.
+  kRequest,  ///< Part of the story of a request: up to a steady rate.
+};
+
+/// @brief Names of the limits in the catalogue.
+inline constexpr core::EnumNames<LineLimit, 3> kLineLimitNames{
+    {"no", "yes", "rate"}};
+
 /// @brief Catalogue entry of an event.
 struct EventInfo {
   EventId id;
   settings::LogLevel level;
   std::string_view name;
   std::string_view text;
-  /// A fault can repeat the event for each request; see `LineLimiter`.
-  bool limited = false;
+  LineLimit limit = LineLimit::kNone;
 };
 
 /// @brief The catalogue.
--- a/src/bambootack/log/line_limiter.cc
+++ b/src/bambootack/log/line_limiter.cc
@@ -6,23 +6,25 @@
 namespace bambootack::log {
 
 std::optional<std::uint64_t> LineLimiter::Admit(EventId id, core::Time now) {
-  if (!InfoOf(id).limited) {
+  const LineLimit limit = InfoOf(id).limit;
+  if (limit == LineLimit::kNone) {
     return 0;
   }
+  const bool back_off = limit == LineLimit::kFault;
   Window& window = windows_[id];
   if (now >= window.start + window.length) {
-    Renew(window, now);
+    Renew(window, back_off, now);
   }
-  if (++window.lines > kLinesPerWindow) {
+  if (++window.lines > (back_off ? kLinesPerWindow : kRequestLinesPerWindow)) {
     ++window.held_back;
     return std::nullopt;
   }
   return std::exchange(window.held_back, 0);
 }
 
-void LineLimiter::Renew(Window& window, core::Time now) {
-  const bool busy =
-      window.lines > kLinesPerWindow && now < window.start + 2 * window.length;
+void LineLimiter::Renew(Window& window, bool back_off, core::Time now) {
+  const bool busy = back_off && window.lines > kLinesPerWindow &&
+                    now < window.start + 2 * window.length;
   window.length =
       busy ? std::min(2 * window.length, kLongestWindow) : kShortestWindow;
   window.start = now;
--- a/src/bambootack/log/line_limiter.h
+++ b/src/bambootack/log/line_limiter.h
@@ -10,10 +10,15 @@
 
 namespace bambootack::log {
 
-/// @brief Lines of one event in one window.
+/// @brief Lines in one window of an event that a fault repeats.
 inline constexpr std::uint64_t kLinesPerWindow = 10;
 
-/// @brief Length of a window; it doubles while lines are held back.
+/// @brief Lines in one window of an event of each request. A VM serves some ten
+/// requests a second; under a flood the log keeps this rate.
+inline constexpr std::uint64_t kRequestLinesPerWindow = 50;
+
+/// @brief Length of a window. For events that a fault repeats it doubles while
+/// lines are held back.
 inline constexpr core::Duration kShortestWindow = std::chrono::seconds(1);
 inline constexpr core::Duration kLongestWindow = std::chrono::seconds(64);
 
@@ -22,7 +27,7 @@
 class LineLimiter {
  public:
   /// @brief Decides whether a line is written.
-  /// @param id Its event; only events marked `limited` are held back.
+  /// @param id Its event; those without a limit are never held back.
   /// @param now Current time.
   /// @return Lines held back since the last one written, or nothing if this
   /// line is held back.
@@ -36,7 +41,7 @@
     std::uint64_t held_back = 0;
   };
 
-  static void Renew(Window& window, core::Time now);
+  static void Renew(Window& window, bool back_off, core::Time now);
 
   std::map<EventId, Window> windows_;
 };
--- a/test/bambootack/log/event_test.cc
+++ b/test/bambootack/log/event_test.cc
@@ -29,7 +29,7 @@
   const std::string doc = ReadFile("docs/events.md");
   std::set<std::string> documented;
   const std::regex row(
-      R"(\n\| (\d+) \| (\w+) \| `([\w-]+)` \| ([^|]+) \| (yes|no) \| [^|]+ \| [^|]+ \|)");
+      R"(\n\| (\d+) \| (\w+) \| `([\w-]+)` \| ([^|]+) \| (yes|no|rate) \| [^|]+ \| [^|]+ \|)");
   // Rows share their newline characters, so each search starts one earlier.
   auto from = doc.cbegin();
   std::smatch match;
@@ -43,7 +43,7 @@
   for (const logging::EventInfo& it : logging::Catalogue()) {
     coded.insert(fmt::format("{} {} {} {} {}", static_cast<int>(it.id),
                              settings::kLogLevelNames.Name(it.level), it.name,
-                             it.text, it.limited ? "yes" : "no"));
+                             it.text, logging::kLineLimitNames.Name(it.limit)));
   }
   BOOST_TEST(coded.size() == logging::Catalogue().size());
   BOOST_TEST(documented == coded, boost::test_tools::per_element());
--- a/test/bambootack/log/line_limiter_test.cc
+++ b/test/bambootack/log/line_limiter_test.cc
@@ -41,6 +41,18 @@
   BOOST_TEST(limiter.Admit(logging::EventId::kFrameRejected, now).has_value());
 }
 
+// Guards against requests without a story: under load a VM wrote 10 lines a
+// minute of each event, and a complaint could not be followed.
+BOOST_AUTO_TEST_CASE(lines_of_requests_keep_their_rate) {
+  logging::LineLimiter limiter;
+  std::uint64_t written = 0;
+  for (core::Time now{}; now < core::Time(std::chrono::minutes(2));
+       now += std::chrono::milliseconds(1)) {
+    written += limiter.Admit(logging::EventId::kRequestSent, now) ? 1 : 0;
+  }
+  BOOST_TEST(written == 120 * logging::kRequestLinesPerWindow);
+}
+
 // Guards against a lost line of an event that tells of a change of state.
 BOOST_AUTO_TEST_CASE(other_events_are_never_held_back) {
   logging::LineLimiter limiter;
