Tell the story of a request from the logs: bambootackctl explain

Reads logs of all VMs from files or standard input and prints the lines of one request in the order of time.

--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -64,6 +64,15 @@
     Command{"drain", "", "stop the daemon gracefully",
             "Starts a planned stop, which interrupts no request in flight.\n"
             "example: bambootackctl --to 10.0.0.1:7000 drain\n"},
+    Command{"explain", "ID [FILE...]", "what the logs say of a request",
+            "Reads logs of all VMs, from standard input without a file, and "
+            "prints the lines of\nthe request with this id in the order of "
+            "time. No daemon is asked.\n"
+            "example: bambootackctl explain 97e740cfe35c2a94 "
+            "/var/log/bambootack/*.log\n"
+            "exit codes: 0 found, 2 a file cannot be read, 10 no line names "
+            "the request\n",
+            true},
 };
 
 std::string Usage(const Command& command) {
@@ -132,7 +141,7 @@
          "exit codes: 0 done, 1 refused, 2 wrong usage, 3 no answer, 4 "
          "another\n"
          "  ticket won, 5 unresolved, 6 log away, 7 not on every VM, 8 wrong\n"
-         "  token, 9 not ready\n";
+         "  token, 9 not ready, 10 no such request\n";
 }
 
 std::string HelpOn(const Command& command) {
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -23,6 +23,7 @@
   kNotEverywhere = 7,  ///< In force, but some VMs lack it after the wait.
   kUnauthorized = 8,   ///< The token is missing or wrong.
   kNotReady = 9,       ///< The VM has no state yet.
+  kNotFound = 10,      ///< No line of the logs names the request.
 };
 
 /// @brief Command line.
@@ -42,6 +43,7 @@
   std::string_view argument;  ///< Name of its argument, or empty.
   std::string_view summary;
   std::string_view help;  ///< Details, examples and exit codes.
+  bool local = false;     ///< It asks no daemon and takes files.
 };
 
 /// @brief All commands.
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -4,12 +4,16 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <future>
+#include <iostream>
 #include <optional>
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
+#include "bambootack/log/request_story.h"
 #include "bambootack/net/http_client.h"
 #include "ctl/commands.h"
 #include "ctl/render.h"
@@ -140,6 +144,29 @@
                                 : code;
 }
 
+/// Prints the story of a request from files, or from standard input.
+ExitCode Explain(const std::vector<std::string>& words) {
+  bambootack::log::RequestStory story(words[1]);
+  if (words.size() == 2) {
+    story.Read(std::cin);
+  }
+  for (std::size_t i = 2; i < words.size(); ++i) {
+    std::ifstream in(words[i]);
+    if (!in) {
+      fmt::print(stderr, "{}: cannot be read\n", words[i]);
+      return ExitCode::kUsage;
+    }
+    story.Read(in);
+  }
+  const std::string text = story.Text();
+  if (text.empty()) {
+    fmt::print(stderr, "{}: no line names this request\n", words[1]);
+    return ExitCode::kNotFound;
+  }
+  fmt::print("{}", text);
+  return ExitCode::kDone;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -151,6 +178,9 @@
                command != nullptr ? ctl::HelpOn(*command) : ctl::GeneralHelp());
     return static_cast<int>(ExitCode::kDone);
   }
+  if (command != nullptr && command->local && options->command.size() > 1) {
+    return static_cast<int>(Explain(options->command));
+  }
   if (command == nullptr || options->to.empty()) {
     fmt::print(stderr, "{}", ctl::GeneralHelp());
     return static_cast<int>(ExitCode::kUsage);
