--- a/test/platform/topic_follower_test.cc
+++ b/test/platform/topic_follower_test.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-const core::Duration kPause = milliseconds(1200);
+const platform::Backoff kBackoff{milliseconds(150), milliseconds(1200)};
 
 core::HttpAnswer Page(const std::string& body) { return {200, {}, body}; }
 
@@ -54,18 +54,18 @@
              "/bambootack/log-newest?topic=keyed.servers&part=0");
   BOOST_TEST(!follower.Next(now).has_value());
   BOOST_TEST(
-      !follower.Take(Page(Newest("ab", 7, true)), now, kPause, random).keys);
+      !follower.Take(Page(Newest("ab", 7, true)), now, kBackoff, random).keys);
   const auto second = follower.Next(now);
   BOOST_TEST(second->http.target.ends_with("&after=b"));
   // The topic grew between the pages: the records since the first are read.
   const auto whole =
-      follower.Take(Page(Newest("c", 9, false)), now, kPause, random);
+      follower.Take(Page(Newest("c", 9, false)), now, kBackoff, random);
   BOOST_TEST(whole.keys->size() == 3U);
   now += milliseconds(150);
   const auto read = follower.Next(now);
   BOOST_TEST(read->http.target.find("from=7&waitMs=900") != std::string::npos);
   const auto change =
-      follower.Take(Page(Records(9, "de")), now, kPause, random);
+      follower.Take(Page(Records(9, "de")), now, kBackoff, random);
   BOOST_TEST(change.records.size() == 2U);
   BOOST_TEST(change.records[0].offset == 7U);
   BOOST_TEST(change.records[1].offset == 8U);
@@ -76,11 +76,11 @@
 BOOST_AUTO_TEST_CASE(expired_records_lead_to_a_new_start) {
   static_cast<void>(follower.Next(now));
   static_cast<void>(
-      follower.Take(Page(Newest("a", 7, false)), now, kPause, random));
+      follower.Take(Page(Newest("a", 7, false)), now, kBackoff, random));
   now += milliseconds(150);
   static_cast<void>(follower.Next(now));
   static_cast<void>(follower.Take(core::HttpAnswer{410, {}, R"({"first":20})"},
-                                  now, kPause, random));
+                                  now, kBackoff, random));
   now += milliseconds(300);
   BOOST_TEST(follower.Next(now)->http.target.find("log-newest") !=
              std::string::npos);
@@ -93,17 +93,27 @@
     const auto answer = status == 0
                             ? std::nullopt
                             : std::optional(core::HttpAnswer{status, {}, ""});
-    BOOST_TEST(!follower.Take(answer, now, kPause, random).answered);
+    BOOST_TEST(!follower.Take(answer, now, kBackoff, random).answered);
     BOOST_TEST(!follower.Next(now + milliseconds(74)).has_value());
     now += milliseconds(2000);
   }
 }
 
+// Guards against calls of a whole fleet at a store that is down: those who hear
+// of its return from others call seldom.
+BOOST_AUTO_TEST_CASE(the_first_pause_is_that_of_the_caller) {
+  const platform::Backoff seldom{milliseconds(4000), milliseconds(8000)};
+  static_cast<void>(follower.Next(now));
+  static_cast<void>(follower.Take(std::nullopt, now, seldom, random));
+  BOOST_TEST(!follower.Next(now + milliseconds(1999)).has_value());
+  BOOST_TEST(follower.Next(now + milliseconds(6000)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(broken_bodies_change_nothing) {
   for (const std::string body :
        {"", "{", "[]", R"({"items":7,"end":1})", R"({"items":[],"end":"x"})"}) {
     static_cast<void>(follower.Next(now));
-    const auto change = follower.Take(Page(body), now, kPause, random);
+    const auto change = follower.Take(Page(body), now, kBackoff, random);
     BOOST_TEST(!change.answered, body);
     BOOST_TEST(change.records.empty(), body);
     now += milliseconds(2000);
@@ -118,12 +128,12 @@
 BOOST_AUTO_TEST_CASE(a_held_read_confirms_the_time_of_its_end) {
   static_cast<void>(follower.Next(now));
   static_cast<void>(
-      follower.Take(Page(Newest("a", 7, false)), now, kPause, random));
+      follower.Take(Page(Newest("a", 7, false)), now, kBackoff, random));
   now += milliseconds(150);
   const core::Time called = now;
   static_cast<void>(follower.Next(now));
   now += milliseconds(905);
-  static_cast<void>(follower.Take(Page(Records(7, "")), now, kPause, random));
+  static_cast<void>(follower.Take(Page(Records(7, "")), now, kBackoff, random));
   BOOST_TEST((*follower.Current() == called + milliseconds(900)));
 }
 
@@ -133,18 +143,19 @@
 BOOST_AUTO_TEST_CASE(records_shorten_the_next_read) {
   static_cast<void>(follower.Next(now));
   static_cast<void>(
-      follower.Take(Page(Newest("a", 7, false)), now, kPause, random));
+      follower.Take(Page(Newest("a", 7, false)), now, kBackoff, random));
   now += milliseconds(150);
   const core::Time called = now;
   static_cast<void>(follower.Next(now));
   now += milliseconds(800);
-  static_cast<void>(follower.Take(Page(Records(8, "b")), now, kPause, random));
+  static_cast<void>(
+      follower.Take(Page(Records(8, "b")), now, kBackoff, random));
   BOOST_TEST((*follower.Current() == called));
   now += milliseconds(150);
   const auto next = follower.Next(now);
   BOOST_TEST(next->http.target.ends_with("&waitMs=150"), next->http.target);
   now += milliseconds(155);
-  static_cast<void>(follower.Take(Page(Records(8, "")), now, kPause, random));
+  static_cast<void>(follower.Take(Page(Records(8, "")), now, kBackoff, random));
   BOOST_TEST((*follower.Current() == called + milliseconds(1100)));
 }
 
@@ -153,7 +164,7 @@
 BOOST_AUTO_TEST_CASE(old_knowledge_is_confirmed_at_once) {
   static_cast<void>(follower.Next(now));
   static_cast<void>(
-      follower.Take(Page(Newest("a", 7, false)), now, kPause, random));
+      follower.Take(Page(Newest("a", 7, false)), now, kBackoff, random));
   now += milliseconds(3000);
   BOOST_TEST(follower.Next(now)->http.target.ends_with("&from=7"));
 }
