Refuse early requests without time left; name trust of any VM

Found by reading the change: a request whose caller had given up while it waited for the first configuration would have been sent without time.

--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -132,6 +132,10 @@
   const core::Handle handle = requests_.Insert(std::move(request));
   by_caller_[caller] = handle;
   by_due_.emplace(due, handle);
+  if (now >= due) {
+    Refuse(handle, core::ErrorKind::kOverloaded, now);
+    return;
+  }
   AskForSlot(handle, now);
 }
 
--- a/src/bambootack/log/event.cc
+++ b/src/bambootack/log/event.cc
@@ -81,7 +81,7 @@
     EventInfo{EventId::kCallerLeft, LogLevel::kInfo, "caller-left",
               "the caller hung up before its answer", LineLimit::kRequest},
     EventInfo{EventId::kServerTrust, LogLevel::kWarning, "server-trust",
-              "a dispatcher changed its trust in a server", LineLimit::kFault},
+              "a VM changed its trust in a server", LineLimit::kFault},
     EventInfo{EventId::kDispatcherSilent, LogLevel::kWarning,
               "dispatcher-silent", "an entry chose a server by itself",
               LineLimit::kRequest},
--- a/test/bambootack/gateway/gateway_test.cc
+++ b/test/bambootack/gateway/gateway_test.cc
@@ -179,6 +179,16 @@
   BOOST_TEST(Status() == 200);
 }
 
+// Guards against a send without time: its caller has given up.
+BOOST_AUTO_TEST_CASE(an_early_request_without_time_left_is_refused) {
+  Ask(1, "/book/1", "40");
+  now += milliseconds(60);
+  Configure();
+  Wait(milliseconds(1));
+  BOOST_TEST(sends.empty());
+  BOOST_TEST(Status() == 503);
+}
+
 // Guards against a send for a caller that left while its request waited.
 BOOST_AUTO_TEST_CASE(an_early_request_is_dropped_with_its_caller) {
   Ask(1, "/book/1");
--- a/test/bambootack/gateway/server_pool_test.cc
+++ b/test/bambootack/gateway/server_pool_test.cc
@@ -151,7 +151,7 @@
     record.id = "s" + std::to_string(i);
     record.slots = 4;
     record.sequence = 5;
-    registry.Apply(record, static_cast<std::uint64_t>(10 + i), now);
+    registry.Apply(record, 10U + static_cast<std::uint64_t>(i), now);
   }
   pool.Follow(registry, now);
   const auto first = Take();
