--- a/src/bambootack/gateway/gateway_peers.cc
+++ b/src/bambootack/gateway/gateway_peers.cc
@@ -62,14 +62,14 @@
   }
   broker_.Welcome(from);
   if (broker_.Add({from, {}, message.address, message.failure_domain})) {
-    actions_.emplace_back(SetMembers{broker_.Others()});
+    actions_.emplace_back(SetMembers{broker_.ListOthers()});
   }
 }
 
 void Gateway::Meet(membership::Member member) {
   const core::VmId vm = member.vm;
   if (broker_.Add(std::move(member))) {
-    actions_.emplace_back(SetMembers{broker_.Others()});
+    actions_.emplace_back(SetMembers{broker_.ListOthers()});
     actions_.emplace_back(TellPeer{
         vm,
         MemberNotice{options_.peer_address, options_.failure_domain, false}});
@@ -78,9 +78,9 @@
 
 void Gateway::Stop() {
   stopping_ = true;
-  for (const membership::Member& it : broker_.Others()) {
+  for (const auto& [vm, member] : broker_.Others()) {
     actions_.emplace_back(TellPeer{
-        it.vm,
+        vm,
         MemberNotice{options_.peer_address, options_.failure_domain, true}});
   }
 }
--- a/src/bambootack/gateway/server_choice.cc
+++ b/src/bambootack/gateway/server_choice.cc
@@ -56,6 +56,7 @@
 constexpr int kUnprovenTier = 1;
 constexpr int kQueueTier = 2;
 constexpr int kLastResortTier = 3;
+constexpr int kFailedTier = 4;
 
 }  // namespace
 
@@ -135,7 +136,7 @@
   const bool ready = now >= row.rest_until && (need.repeatable || waited);
   Preference result;
   // The server that has rested longest comes first.
-  result.tier = ready && (!busy || idle) ? kTrialTier : kLastResortTier + 1;
+  result.tier = ready && (!busy || idle) ? kTrialTier : kFailedTier;
   result.order = row.rest_until.time_since_epoch();
   return result;
 }
--- a/src/bambootack/gateway/slot_broker.cc
+++ b/src/bambootack/gateway/slot_broker.cc
@@ -83,7 +83,7 @@
   }
 }
 
-std::vector<membership::Member> SlotBroker::Others() const {
+std::vector<membership::Member> SlotBroker::ListOthers() const {
   std::vector<membership::Member> result;
   result.reserve(members_.size());
   for (const auto& [vm, member] : members_) {
--- a/src/bambootack/gateway/slot_broker.h
+++ b/src/bambootack/gateway/slot_broker.h
@@ -67,8 +67,15 @@
   [[nodiscard]] bool IsLeaving(core::VmId vm, core::Time now) const;
 
   /// @brief The other VMs.
-  /// @return The members.
-  [[nodiscard]] std::vector<membership::Member> Others() const;
+  /// @return The members by VM.
+  [[nodiscard]] const std::map<core::VmId, membership::Member>& Others()
+      const noexcept {
+    return members_;
+  }
+
+  /// @brief The other VMs as a list.
+  /// @return A copy of the members.
+  [[nodiscard]] std::vector<membership::Member> ListOthers() const;
 
   /// @brief Number of VMs known, with this one.
   /// @return The count.
--- a/src/bambootack/gateway/state_spread.cc
+++ b/src/bambootack/gateway/state_spread.cc
@@ -1,6 +1,8 @@
 #include "bambootack/gateway/state_spread.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
 
 #include "bambootack/core/hash.h"
 
@@ -29,15 +31,17 @@
   const std::uint64_t object = core::HashBytes("reader/" + failure_domain_);
   core::VmId best = self_;
   std::uint64_t best_score = core::RendezvousScore(object, self_);
-  for (const membership::Member& it : broker_.Others()) {
-    const auto silent = silent_until_.find(it.vm);
+  for (const auto& [vm, member] : broker_.Others()) {
+    if (member.failure_domain != failure_domain_) {
+      continue;
+    }
+    const auto silent = silent_until_.find(vm);
     const bool usable =
-        it.failure_domain == failure_domain_ &&
         (silent == silent_until_.end() || silent->second <= now) &&
-        !broker_.IsLeaving(it.vm, now);
-    const std::uint64_t score = core::RendezvousScore(object, it.vm);
+        !broker_.IsLeaving(vm, now);
+    const std::uint64_t score = core::RendezvousScore(object, vm);
     if (usable && score > best_score) {
-      best = it.vm;
+      best = vm;
       best_score = score;
     }
   }
@@ -95,9 +99,9 @@
 void StateSpread::Announce(core::Time now) {
   const StateUpdate update = UpdateSince(announced_, now);
   announced_ = position_;
-  for (const membership::Member& it : broker_.Others()) {
-    if (it.failure_domain == failure_domain_) {
-      outgoing_.emplace_back(it.vm, update);
+  for (const auto& [vm, member] : broker_.Others()) {
+    if (member.failure_domain == failure_domain_) {
+      outgoing_.emplace_back(vm, update);
     }
   }
 }
@@ -161,9 +165,10 @@
   if (confirmed_ && !fresh && reader != self_) {
     silent_until_[reader] = now + kSilentTime;
   }
-  const std::vector<membership::Member> others = broker_.Others();
+  const auto& others = broker_.Others();
   if (!others.empty()) {
-    Ask(others[random.Below(others.size())].vm, now);
+    const auto step = static_cast<std::ptrdiff_t>(random.Below(others.size()));
+    Ask(std::next(others.begin(), step)->first, now);
   } else {
     ask_at_ = now + kAskPause;
   }
--- a/test/platform/topic_follower_test.cc
+++ b/test/platform/topic_follower_test.cc
@@ -37,6 +37,13 @@
 }
 
 struct Fixture {
+  /// Takes the only page of the newest records.
+  void ReadNewest() {
+    static_cast<void>(follower.Next(now));
+    static_cast<void>(
+        follower.Take(Page(Newest("a", 7, false)), now, kBackoff, random));
+  }
+
   core::Time now{core::Duration(5'000'000)};
   core::Random random{1};
   platform::TopicFollower follower{"keyed.servers",
@@ -74,9 +81,7 @@
 
 // Guards against a follower that stays without records that expired unread.
 BOOST_AUTO_TEST_CASE(expired_records_lead_to_a_new_start) {
-  static_cast<void>(follower.Next(now));
-  static_cast<void>(
-      follower.Take(Page(Newest("a", 7, false)), now, kBackoff, random));
+  ReadNewest();
   now += milliseconds(150);
   static_cast<void>(follower.Next(now));
   static_cast<void>(follower.Take(core::HttpAnswer{410, {}, R"({"first":20})"},
@@ -126,9 +131,7 @@
 
 // Guards against freshness that a held read does not give.
 BOOST_AUTO_TEST_CASE(a_held_read_confirms_the_time_of_its_end) {
-  static_cast<void>(follower.Next(now));
-  static_cast<void>(
-      follower.Take(Page(Newest("a", 7, false)), now, kBackoff, random));
+  ReadNewest();
   now += milliseconds(150);
   const core::Time called = now;
   static_cast<void>(follower.Next(now));
@@ -141,9 +144,7 @@
 // ended a held read, which confirmed the time of its call only, and all VMs
 // read for themselves.
 BOOST_AUTO_TEST_CASE(records_shorten_the_next_read) {
-  static_cast<void>(follower.Next(now));
-  static_cast<void>(
-      follower.Take(Page(Newest("a", 7, false)), now, kBackoff, random));
+  ReadNewest();
   now += milliseconds(150);
   const core::Time called = now;
   static_cast<void>(follower.Next(now));
@@ -162,11 +163,26 @@
 // Guards against a held read of a VM whose knowledge is old: it would learn
 // only at its end whether it is complete.
 BOOST_AUTO_TEST_CASE(old_knowledge_is_confirmed_at_once) {
-  static_cast<void>(follower.Next(now));
-  static_cast<void>(
-      follower.Take(Page(Newest("a", 7, false)), now, kBackoff, random));
+  ReadNewest();
   now += milliseconds(3000);
   BOOST_TEST(follower.Next(now)->http.target.ends_with("&from=7"));
 }
 
+// Guards against freshness that a slow page without records does not give: it
+// was taken for the end of the held read before it.
+BOOST_AUTO_TEST_CASE(a_slow_page_confirms_the_time_of_its_call) {
+  ReadNewest();
+  now += milliseconds(150);
+  static_cast<void>(follower.Next(now));
+  static_cast<void>(follower.Take(core::HttpAnswer{410, {}, R"({"first":20})"},
+                                  now, kBackoff, random));
+  now += milliseconds(300);
+  const core::Time called = now;
+  static_cast<void>(follower.Next(now));
+  now += milliseconds(950);
+  static_cast<void>(
+      follower.Take(Page(Newest("", 20, false)), now, kBackoff, random));
+  BOOST_TEST((*follower.Current() == called));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
