Refuse requests that crash the servers that run them

Change: the dispatcher notes lost requests by a fingerprint of host, method, path and body. A loss counts only if its server is down within 2.5 s: no connection, another start, or gone from the registry. After the second one the request is refused as request-held, which is true, since this attempt has not run. The dispatchers of the service's other groups are told. Ruled out: counting each loss, since servers that reset three quarters of their work for seconds would hold reads that are sent again.

--- a/src/bambootack/gateway/codec.cc
+++ b/src/bambootack/gateway/codec.cc
@@ -41,7 +41,7 @@
 template <typename A>
 void serialize(A& ar, SlotNeed& it) {
   ar(it.service, it.group, it.route, it.repeatable, it.priority, it.patience,
-     it.left, it.failure_domain, it.excluded);
+     it.left, it.failure_domain, it.excluded, it.fingerprint);
 }
 
 template <typename A>
@@ -61,7 +61,7 @@
 
 template <typename A>
 void serialize(A& ar, SlotReply& it) {
-  ar(it.key, it.slot, it.knows_servers);
+  ar(it.key, it.slot, it.knows_servers, it.held);
 }
 
 template <typename A>
@@ -69,6 +69,11 @@
   ar(it.lease, it.end, it.load);
 }
 
+template <typename A>
+void serialize(A& ar, CrashNotice& it) {
+  ar(it.fingerprint, it.server);
+}
+
 template <typename A>
 void serialize(A& ar, MemberNotice& it) {
   ar(it.address, it.failure_domain, it.leaving);
--- a/src/bambootack/gateway/fwd.h
+++ b/src/bambootack/gateway/fwd.h
@@ -6,6 +6,7 @@
 struct GatewayConfig;
 struct GatewayRoute;
 struct ServerRecord;
+class CrashWatch;
 class Gateway;
 class RouteTable;
 class ServerPool;
--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -44,6 +44,12 @@
   pool_.Follow(registry_, now);
 }
 
+void Gateway::FollowRegistry(core::Time now) {
+  pool_.Follow(registry_, now);
+  crash_watch_.Follow(registry_, now);
+  ReportCrashes(now);
+}
+
 std::vector<GatewayAction> Gateway::TakeActions() {
   for (auto& [vm, message] : spread_.TakeMessages()) {
     actions_.emplace_back(TellPeer{vm, std::move(message)});
@@ -127,6 +133,7 @@
                   core::ToMilliseconds(request.deadline - now)));
   request.group =
       static_cast<std::uint32_t>(random_.Below(pool_.Groups(request.service)));
+  request.fingerprint = FingerprintOf(request.http);
   request.due = request.deadline;
   const core::Time due = request.due;
   const core::Handle handle = requests_.Insert(std::move(request));
@@ -189,9 +196,10 @@
         fmt::format("server={} state=gone cause=not-back", it));
   }
   if (!removed.empty()) {
-    pool_.Follow(registry_, now);
+    FollowRegistry(now);
   }
-  ReportTrust(now);
+  WatchCrashes(now);
+  ReportTrust();
 }
 
 std::optional<core::Time> Gateway::NextDue() const {
@@ -232,10 +240,12 @@
     kind = core::ErrorKind::kBackendLost;
   }
   Log(log::EventId::kRequestRefused,
-      fmt::format("request={} error={} sends={} runs={} ms={}",
+      fmt::format("request={} error={} sends={} runs={} ms={} "
+                  "fingerprint={:016x}",
                   Shown(request.id), core::AnswerOf(kind).name,
                   request.arrivals, request.runs,
-                  core::ToMilliseconds(now - request.arrived)));
+                  core::ToMilliseconds(now - request.arrived),
+                  request.fingerprint));
   metrics_.CountAnswer(core::AnswerOf(kind).name, core::AnswerOf(kind).status);
   metrics_.ObserveLatency(request.route->priority, now - request.arrived);
   Answer(request.caller,
@@ -274,7 +284,7 @@
   requests_.Erase(handle);
 }
 
-void Gateway::ReportTrust(core::Time /*now*/) {
+void Gateway::ReportTrust() {
   for (const TrustChange& it : pool_.TakeChanges()) {
     metrics_.CountTrust(it.to);
     Log(log::EventId::kServerTrust,
@@ -284,6 +294,19 @@
   }
 }
 
+void Gateway::WatchCrashes(core::Time now) {
+  for (const RequestEnd& it : pool_.TakeEnds()) {
+    if (it.end == SendEnd::kLost) {
+      crash_watch_.NoteLost(it.fingerprint, it.server, registry_, now);
+    } else if (it.end == SendEnd::kUnreachable) {
+      crash_watch_.NoteDown(it.server, now);
+    } else if (it.end == SendEnd::kServed) {
+      crash_watch_.NoteServed(it.fingerprint);
+    }
+  }
+  ReportCrashes(now);
+}
+
 GatewayGauges Gateway::Gauges(core::Time now) const {
   GatewayGauges gauges;
   gauges.in_flight = InFlight();
--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "bambootack/core/random.h"
 #include "bambootack/core/table.h"
 #include "bambootack/dispatch/retry_budget.h"
+#include "bambootack/gateway/crash_watch.h"
 #include "bambootack/gateway/dialect.h"
 #include "bambootack/gateway/messages.h"
 #include "bambootack/gateway/metrics.h"
@@ -96,7 +97,7 @@
 
   /// @brief Takes over changes of the registry.
   /// @param now Current time.
-  void FollowRegistry(core::Time now) { pool_.Follow(registry_, now); }
+  void FollowRegistry(core::Time now);
 
   /// @brief Takes a caller's request.
   /// @param caller Number of the caller.
@@ -183,6 +184,7 @@
     core::CallerId caller{};
     core::HttpRequest http;
     std::string id;
+    std::uint64_t fingerprint = 0;
     std::shared_ptr<const RouteTable> table;  ///< Owns the route.
     const GatewayRoute* route = nullptr;
     std::string service;
@@ -226,6 +228,7 @@
   void On(core::VmId from, MemberNotice& message, core::Time now);
   void On(core::VmId from, StateUpdate& message, core::Time now);
   void On(core::VmId from, StateAsk& message, core::Time now);
+  void On(core::VmId from, CrashNotice& message, core::Time now);
 
   [[nodiscard]] std::optional<core::ErrorKind> Route(Request& request) const;
   [[nodiscard]] SlotNeed NeedOf(const Request& request, core::Time now) const;
@@ -256,7 +259,9 @@
   void CancelSendOf(Request& request, SendEnd end, core::Time now);
   void SetDue(core::Handle handle, Request& request);
   void Erase(core::Handle handle);
-  void ReportTrust(core::Time now);
+  void ReportTrust();
+  void WatchCrashes(core::Time now);
+  void ReportCrashes(core::Time now);
   void Log(log::EventId id, std::string detail);
 
   GatewayOptions options_;
@@ -267,6 +272,7 @@
   ServerPool pool_;
   SlotBroker broker_;
   StateSpread spread_;
+  CrashWatch crash_watch_;
   std::deque<EarlyRequest> early_;  ///< In the order of their arrival.
   core::Table<Request> requests_;
   std::unordered_map<core::CallerId, core::Handle> by_caller_;
--- a/src/bambootack/gateway/gateway_peers.cc
+++ b/src/bambootack/gateway/gateway_peers.cc
@@ -18,17 +18,19 @@
 
 void Gateway::Receive(core::VmId from, PeerMessage message, core::Time now) {
   std::visit([&](auto& it) { On(from, it, now); }, message);
-  ReportTrust(now);
+  WatchCrashes(now);
+  ReportTrust();
 }
 
 void Gateway::On(core::VmId from, SlotRequest& message, core::Time now) {
   std::optional<Slot> slot;
   const bool knows = pool_.Knows(message.need.service);
-  if (knows && Count(false, message.repeat, message.need)) {
+  const bool held = crash_watch_.IsHeld(message.need.fingerprint, now);
+  if (knows && !held && Count(false, message.repeat, message.need)) {
     slot = pool_.Acquire(message.need, from, now, random_);
   }
   actions_.emplace_back(
-      TellPeer{from, SlotReply{message.key, std::move(slot), knows}});
+      TellPeer{from, SlotReply{message.key, std::move(slot), knows, held}});
 }
 
 void Gateway::On(core::VmId from, SlotReply& message, core::Time now) {
@@ -42,6 +44,8 @@
   } else if (awaited && message.slot && !IsUsable(*message.slot)) {
     GiveBack(from, message.slot->lease, SendEnd::kCancelled, std::nullopt, now);
     ChooseAlone(message.key.request, now);
+  } else if (awaited && message.held && !request->send) {
+    Refuse(message.key.request, core::ErrorKind::kRequestHeld, now);
   } else if (awaited) {
     metrics_.ObserveSlotWait(now - request->asked_at);
     request->asked.reset();
@@ -107,4 +111,8 @@
   spread_.Receive(from, message, now);
 }
 
+void Gateway::On(core::VmId /*from*/, CrashNotice& message, core::Time now) {
+  crash_watch_.Adopt(message.fingerprint, message.server, now);
+}
+
 }  // namespace bambootack::gateway
--- a/src/bambootack/gateway/gateway_sends.cc
+++ b/src/bambootack/gateway/gateway_sends.cc
@@ -45,8 +45,8 @@
 constexpr std::uint32_t kMaxGroupsAsked = 3;
 
 /// Text whose hash chooses the dispatcher of a group.
-std::string DispatchKey(const SlotNeed& need) {
-  return fmt::format("{}/{}", need.service, need.group);
+std::string DispatchKey(std::string_view service, std::uint32_t group) {
+  return fmt::format("{}/{}", service, group);
 }
 
 }  // namespace
@@ -65,6 +65,7 @@
   need.patience = std::min(request.route->target, left) / kPatienceDivisor;
   need.left = left;
   need.excluded = request.failed;
+  need.fingerprint = request.fingerprint;
   for (const auto& [server, until] : unreachable_until_) {
     if (now < until) {
       need.excluded.push_back(server);
@@ -77,7 +78,8 @@
   Request& request = *requests_.Find(handle);
   ++request.asks;
   SlotNeed need = NeedOf(request, now);
-  const core::VmId dispatcher = broker_.Choose(DispatchKey(need), now);
+  const core::VmId dispatcher =
+      broker_.Choose(DispatchKey(need.service, need.group), now);
   if (dispatcher == options_.vm) {
     ChooseHere(handle, false, need, now);
     return;
@@ -103,7 +105,12 @@
 void Gateway::ChooseHere(core::Handle handle, bool alone, const SlotNeed& need,
                          core::Time now) {
   const Request& request = *requests_.Find(handle);
-  const bool allowed = Count(alone, request.arrivals > 0, need);
+  const bool held = crash_watch_.IsHeld(need.fingerprint, now);
+  if (held && !request.send) {
+    Refuse(handle, core::ErrorKind::kRequestHeld, now);
+    return;
+  }
+  const bool allowed = !held && Count(alone, request.arrivals > 0, need);
   UseSlot(
       handle,
       allowed ? pool_.Acquire(need, options_.vm, now, random_) : std::nullopt,
@@ -111,7 +118,7 @@
 }
 
 dispatch::RetryBudget& Gateway::BudgetOf(bool alone, const SlotNeed& need) {
-  const std::string key = DispatchKey(need);
+  const std::string key = DispatchKey(need.service, need.group);
   const std::size_t rank = broker_.RankOfSelf(key);
   const bool spends_for_others = !alone && rank <= 1;
   const auto [it, created] = spends_for_others
@@ -313,6 +320,26 @@
   }
 }
 
+/// The dispatchers of all groups of a service hold a request that crashes its
+/// servers.
+void Gateway::ReportCrashes(core::Time now) {
+  for (const Crash& it : crash_watch_.TakeCrashes()) {
+    Log(log::EventId::kServerCrashed,
+        fmt::format("server={} service={} fingerprint={:016x} held={}",
+                    it.server, it.service, it.fingerprint,
+                    crash_watch_.IsHeld(it.fingerprint, now)));
+    std::set<core::VmId> dispatchers;
+    for (std::uint32_t i = 0; i < pool_.Groups(it.service); ++i) {
+      dispatchers.insert(broker_.Choose(DispatchKey(it.service, i), now));
+    }
+    dispatchers.erase(options_.vm);
+    for (const core::VmId vm : dispatchers) {
+      actions_.emplace_back(
+          TellPeer{vm, CrashNotice{it.fingerprint, it.server}});
+    }
+  }
+}
+
 void Gateway::CancelSendOf(Request& request, SendEnd end, core::Time now) {
   if (!request.send) {
     return;
--- a/src/bambootack/gateway/messages.h
+++ b/src/bambootack/gateway/messages.h
@@ -34,6 +34,7 @@
   SendKey key;
   std::optional<Slot> slot;
   bool knows_servers = true;  ///< False if the dispatcher has just started.
+  bool held = false;          ///< The request crashes the servers that run it.
 };
 
 /// @brief Entry to dispatcher: the slot is free again.
@@ -43,6 +44,13 @@
   std::optional<ServerLoad> load;
 };
 
+/// @brief Dispatcher to the dispatchers of the service's other groups: a server
+/// went down while it ran a request.
+struct CrashNotice {
+  std::uint64_t fingerprint = 0;
+  std::string server;
+};
+
 /// @brief A VM that has started, to the VMs that it knows.
 struct MemberNotice {
   std::string address;
@@ -68,8 +76,9 @@
 };
 
 /// @brief Any message between gateways.
-using PeerMessage = std::variant<SlotRequest, SlotReply, SlotRelease,
-                                 MemberNotice, StateUpdate, StateAsk>;
+using PeerMessage =
+    std::variant<SlotRequest, SlotReply, SlotRelease, MemberNotice, StateUpdate,
+                 StateAsk, CrashNotice>;
 
 }  // namespace bambootack::gateway
 
--- a/src/bambootack/gateway/server_choice.cc
+++ b/src/bambootack/gateway/server_choice.cc
@@ -211,6 +211,7 @@
   Lease lease;
   lease.server = row.id;
   lease.route = need.route;
+  lease.fingerprint = need.fingerprint;
   lease.holder = holder;
   lease.start = now;
   lease.overdue_at =
--- a/src/bambootack/gateway/server_pool.cc
+++ b/src/bambootack/gateway/server_pool.cc
@@ -89,6 +89,7 @@
   leases_.erase(found);
   by_server_.erase({it.server, lease});
   by_expiry_.erase({it.expires_at, lease});
+  ends_.push_back({it.fingerprint, it.server, end});
   const auto row = rows_.find(it.server);
   if (row == rows_.end()) {
     return;
--- a/src/bambootack/gateway/server_pool.h
+++ b/src/bambootack/gateway/server_pool.h
@@ -43,6 +43,7 @@
   core::Duration left{};       ///< Time until the request is given up.
   std::string failure_domain;  ///< Preferred among equals.
   std::vector<std::string> excluded;  ///< Servers that the asker cannot use.
+  std::uint64_t fingerprint = 0;      ///< The same for a request that returns.
   /// The pool sees the requests of the whole fleet, so that a server without
   /// any is idle. Not sent to other VMs.
   bool sees_fleet = true;
@@ -79,6 +80,13 @@
   SendEnd cause = SendEnd::kServed;
 };
 
+/// @brief How a request ended at a server, for the watch on crashes.
+struct RequestEnd {
+  std::uint64_t fingerprint = 0;
+  std::string server;
+  SendEnd end = SendEnd::kServed;
+};
+
 /// @brief Slots and health of backend servers, from the results of real work.
 /// The dispatcher of a service uses it for the whole fleet; an entry without a
 /// dispatcher uses it for its own requests.
@@ -126,6 +134,12 @@
     return std::exchange(changes_, {});
   }
 
+  /// @brief Takes the ends of requests since the last call.
+  /// @return The ends by leases of this pool, oldest first.
+  [[nodiscard]] std::vector<RequestEnd> TakeEnds() {
+    return std::exchange(ends_, {});
+  }
+
   /// @brief Usual time that a server takes for a route.
   /// @param route The route.
   /// @return The moving average, or nothing before the first answer.
@@ -174,6 +188,7 @@
   struct Lease {
     std::string server;
     std::string route;
+    std::uint64_t fingerprint = 0;
     core::VmId holder{};
     core::Time start{};
     core::Time overdue_at{};  ///< When the request takes unusually long.
@@ -222,6 +237,7 @@
   std::set<std::pair<core::Time, std::uint64_t>> by_expiry_;
   std::map<std::string, core::Duration, std::less<>> usual_;
   std::vector<TrustChange> changes_;
+  std::vector<RequestEnd> ends_;
   std::uint64_t last_lease_ = 0;
 };
 
--- a/src/bambootack/log/event.cc
+++ b/src/bambootack/log/event.cc
@@ -98,6 +98,8 @@
     EventInfo{EventId::kRequestWaited, LogLevel::kInfo, "request-waited",
               "a request came before the first configuration",
               LineLimit::kRequest},
+    EventInfo{EventId::kServerCrashed, LogLevel::kWarning, "server-crashed",
+              "a server went down while it ran a request", LineLimit::kFault},
 };
 
 }  // namespace
--- a/src/bambootack/log/event.h
+++ b/src/bambootack/log/event.h
@@ -53,6 +53,7 @@
   kStoreLost = 711,
   kStoreFound = 712,
   kRequestWaited = 713,
+  kServerCrashed = 714,
 };
 
 /// @brief How often an event is written; see `LineLimiter`.
--- a/test/bambootack/gateway/codec_test.cc
+++ b/test/bambootack/gateway/codec_test.cc
@@ -36,6 +36,7 @@
   need.patience = milliseconds(300);
   need.left = milliseconds(900);
   need.excluded = {"a", "b"};
+  need.fingerprint = 42;
   gateway::StateUpdate update;
   update.from = 4;
   update.position = 9;
@@ -52,7 +53,9 @@
                                gateway::ServerLoad{2, 1}},
           gateway::MemberNotice{"10.0.0.1:7000", "west", true},
           update,
-          gateway::StateAsk{4, 12}};
+          gateway::StateAsk{4, 12},
+          gateway::SlotReply{{{1, 2}, 3}, std::nullopt, true, true},
+          gateway::CrashNotice{42, "a"}};
 }
 
 }  // namespace
