--- a/standin/platform/store.cc
+++ b/standin/platform/store.cc
@@ -230,7 +230,7 @@
   Topic& topic = topics_[name];
   const std::uint64_t offset = topic.End();
   const std::size_t key_length =
-      record.empty() ? 0 : Number(std::string_view(record).substr(0, 1));
+      record.empty() ? 0 : static_cast<unsigned char>(record.front());
   if (key_length > 0 && key_length < record.size()) {
     const std::string key = record.substr(1, key_length);
     std::string value = record.substr(1 + key_length);
