Ignore reloads until a daemon handles them

Cause: SIGHUP in the first milliseconds of a process has its default action and ends it. Change: RunDaemon ignores the signal first; the handler replaces that.

--- a/src/daemon/command_line.cc
+++ b/src/daemon/command_line.cc
@@ -2,6 +2,7 @@
 
 #include <getopt.h>
 
+#include <csignal>
 #include <cstdio>
 #include <fstream>
 #include <iterator>
@@ -55,6 +56,8 @@
   return line;
 }
 
+void IgnoreReload() noexcept { std::signal(SIGHUP, SIG_IGN); }
+
 std::optional<std::string> ReadText(const std::string& path) {
   std::ifstream in(path);
   if (!in) {
--- a/src/daemon/command_line.h
+++ b/src/daemon/command_line.h
@@ -39,6 +39,10 @@
 /// @return The text, or nothing with a message on standard error.
 [[nodiscard]] std::optional<std::string> ReadText(const std::string& path);
 
+/// @brief Ignores requests to reload until the daemon handles them: their
+/// default ends the process.
+void IgnoreReload() noexcept;
+
 /// @brief Runs a daemon: command line, settings, then the daemon itself.
 /// @param argc Number of arguments.
 /// @param argv Arguments.
@@ -50,6 +54,7 @@
 int RunDaemon(int argc, char** argv, std::string_view program, Parse parse,
               Run run) {
   namespace leaf = boost::leaf;
+  IgnoreReload();
   const CommandLine line = ReadCommandLine(argc, argv, program);
   if (line.exit_code) {
     return *line.exit_code;
