Let the last attempt of a patient read wait for room

Cause: second attempts of notes and histories found no room at trusted servers and went to servers that had just lost requests, or were given up at once. Change: each attempt of a patient read waits for room as the first one does, and its last one keeps off servers that have just failed. A repeat takes its part of the budget only with a slot, so that waiting costs none.

--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -111,6 +111,7 @@
   request.caller = caller;
   request.http = std::move(http);
   request.arrived = arrived;
+  request.room_wanted_at = now;
   if (const auto error = Route(request)) {
     Log(log::EventId::kRequestRefused,
         fmt::format("request={} error={} version={} path={}", Shown(request.id),
--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -195,6 +195,7 @@
     std::uint32_t groups_full = 0;  ///< Groups without a slot for it.
     int arrivals = 0;               ///< Sends that may have reached a server.
     int runs = 0;                   ///< Sends that a server may have run.
+    core::Time room_wanted_at{};    ///< Arrival or end of the last send.
     std::uint32_t waits = 0;        ///< Times that it waited for room.
     std::optional<core::Time> ask_again_at;  ///< While it waits for room.
     std::optional<core::VmId> asked;  ///< Dispatcher that has yet to reply.
@@ -254,7 +255,9 @@
 
   [[nodiscard]] dispatch::RetryBudget& BudgetOf(bool alone,
                                                 const SlotNeed& need);
-  [[nodiscard]] bool Count(bool alone, bool repeat, const SlotNeed& need);
+  [[nodiscard]] std::optional<Slot> TakeSlot(core::VmId holder, bool alone,
+                                             bool repeat, const SlotNeed& need,
+                                             core::Time now);
   [[nodiscard]] bool MaySendAgain(const Request& request, core::Time now) const;
   void Deliver(core::Handle handle, core::HttpAnswer answer, core::Time now);
   void Refuse(core::Handle handle, core::ErrorKind kind, core::Time now);
--- a/src/bambootack/gateway/gateway_peers.cc
+++ b/src/bambootack/gateway/gateway_peers.cc
@@ -26,8 +26,8 @@
   std::optional<Slot> slot;
   const bool knows = pool_.Knows(message.need.service);
   const bool held = crash_watch_.IsHeld(message.need.fingerprint, now);
-  if (knows && !held && Count(false, message.repeat, message.need)) {
-    slot = pool_.Acquire(message.need, from, now, random_);
+  if (knows) {
+    slot = TakeSlot(from, false, message.repeat, message.need, now);
   }
   actions_.emplace_back(
       TellPeer{from, SlotReply{message.key, std::move(slot), knows, held}});
--- a/src/bambootack/gateway/gateway_sends.cc
+++ b/src/bambootack/gateway/gateway_sends.cc
@@ -113,16 +113,12 @@
 void Gateway::ChooseHere(core::Handle handle, bool alone, const SlotNeed& need,
                          core::Time now) {
   const Request& request = *requests_.Find(handle);
-  const bool held = crash_watch_.IsHeld(need.fingerprint, now);
-  if (held && !request.send) {
+  if (!request.send && crash_watch_.IsHeld(need.fingerprint, now)) {
     Refuse(handle, core::ErrorKind::kRequestHeld, now);
     return;
   }
-  const bool allowed = !held && Count(alone, request.arrivals > 0, need);
-  UseSlot(
-      handle,
-      allowed ? pool_.Acquire(need, options_.vm, now, random_) : std::nullopt,
-      options_.vm, now);
+  UseSlot(handle, TakeSlot(options_.vm, alone, request.arrivals > 0, need, now),
+          options_.vm, now);
 }
 
 dispatch::RetryBudget& Gateway::BudgetOf(bool alone, const SlotNeed& need) {
@@ -144,20 +140,24 @@
   return it->second;
 }
 
-/// Counts a send. Returns false for a repeat that exceeds the budget, of which
-/// a VM knows its part only when it knows the fleet.
-bool Gateway::Count(bool alone, bool repeat, const SlotNeed& need) {
-  if (!spread_.IsSettled()) {
-    return !repeat;
+/// Takes a slot for a send and counts it. A repeat needs a part of the budget,
+/// of which a VM knows its own only when it knows the fleet.
+std::optional<Slot> Gateway::TakeSlot(core::VmId holder, bool alone,
+                                      bool repeat, const SlotNeed& need,
+                                      core::Time now) {
+  const bool settled = spread_.IsSettled();
+  if (crash_watch_.IsHeld(need.fingerprint, now) || (repeat && !settled)) {
+    return std::nullopt;
   }
-  dispatch::RetryBudget& budget = BudgetOf(alone, need);
-  if (repeat) {
-    return budget.Take();
+  if (settled && !repeat && !need.waited) {
+    BudgetOf(alone, need).Count();
   }
-  if (!need.waited) {
-    budget.Count();
+  std::optional<Slot> slot = pool_.Acquire(need, holder, now, random_);
+  if (slot && repeat && !BudgetOf(alone, need).Take()) {
+    pool_.Release(slot->lease, SendEnd::kCancelled, std::nullopt, now);
+    return std::nullopt;
   }
-  return true;
+  return slot;
 }
 
 /// The dispatcher may not know yet that a server leaves, or not hear it.
@@ -197,8 +197,8 @@
 bool Gateway::WaitForRoom(core::Handle handle, core::Time now) {
   Request& request = *requests_.Find(handle);
   const core::Time until =
-      request.arrived + request.route->target / kRoomDivisor;
-  if (request.arrivals > 0 || now + kRoomWait > until ||
+      request.room_wanted_at + request.route->target / kRoomDivisor;
+  if (now + kRoomWait > std::min(until, request.deadline) ||
       !request.table->IsPatient(request.service, *request.route)) {
     return false;
   }
@@ -285,6 +285,7 @@
                   done.slot.server, kSendEndNames.Name(result), answer.status,
                   core::ToMilliseconds(now - request.arrived)));
   request.failed.push_back(done.slot.server);
+  request.room_wanted_at = now;
   switch (result) {
     case SendEnd::kServed:
       request.send = done;
--- a/src/bambootack/gateway/server_choice.cc
+++ b/src/bambootack/gateway/server_choice.cc
@@ -124,6 +124,9 @@
     }
   } else {
     result = RateOnTrial(row, need, overdue, now);
+    if (need.yields && !need.repeatable && result.tier == kFailedTier) {
+      return std::nullopt;  // It can wait for a better server.
+    }
   }
   result.load = load;
   if (row.failure_domain != need.failure_domain) {
