--- a/src/bambootack/gateway/gateway_sends.cc
+++ b/src/bambootack/gateway/gateway_sends.cc
@@ -204,6 +204,10 @@
   }
   ++request.waits;
   request.groups_full = 0;
+  Log(log::EventId::kRoomAwaited,
+      fmt::format("request={} service={} waits={} sends={} ms={}", request.id,
+                  request.service, request.waits, request.arrivals,
+                  core::ToMilliseconds(now - request.arrived)));
   request.ask_again_at = now + kRoomWait;
   SetDue(handle, request);
   return true;
--- a/src/bambootack/log/event.cc
+++ b/src/bambootack/log/event.cc
@@ -103,6 +103,9 @@
     EventInfo{EventId::kRecordsExpired, LogLevel::kInfo, "records-expired",
               "the store no longer has the next records; all are read again",
               LineLimit::kFault},
+    EventInfo{EventId::kRoomAwaited, LogLevel::kInfo, "room-awaited",
+              "a patient request leaves room for urgent ones and asks again",
+              LineLimit::kRequest},
 };
 
 }  // namespace
--- a/src/bambootack/log/event.h
+++ b/src/bambootack/log/event.h
@@ -55,6 +55,7 @@
   kRequestWaited = 713,
   kServerCrashed = 714,
   kRecordsExpired = 715,
+  kRoomAwaited = 716,
 };
 
 /// @brief How often an event is written; see `LineLimiter`.
