--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -54,6 +54,13 @@
   for (auto& [vm, message] : sync_.TakeMessages()) {
     actions_.emplace_back(SendToPeer{vm, std::move(message)});
   }
+  for (const SentUpdate& it : sync_.TakeSentUpdates()) {
+    Log(log::EventId::kStateSent,
+        fmt::format("peers={} from={} position={} changes={} version={} "
+                    "config={}",
+                    it.peers, it.from, it.position, it.changes,
+                    it.config_version, it.has_config));
+  }
   return std::exchange(actions_, {});
 }
 
--- a/src/bambootack/gateway/metrics.cc
+++ b/src/bambootack/gateway/metrics.cc
@@ -27,11 +27,15 @@
     "Slots that a dispatcher did not grant in time."};
 constexpr MetricInfo kStoreCalls{"bambootack_gateway_store_calls_total",
                                  "counter", "Calls to the platform's store."};
+constexpr MetricInfo kPeerBytes{"bambootack_gateway_peer_bytes_total",
+                                "counter", "Bytes of messages to peers."};
 constexpr MetricInfo kLatency{"bambootack_gateway_latency_seconds", "histogram",
                               "Time from a request to its answer."};
 constexpr MetricInfo kSlotWait{"bambootack_gateway_slot_wait_seconds",
                                "histogram",
                                "Time that a request waited for a slot."};
+constexpr MetricInfo kTimerDelay{"bambootack_gateway_timer_delay_seconds",
+                                 "histogram", "Delay of timer handlers."};
 constexpr MetricInfo kInFlight{"bambootack_gateway_in_flight", "gauge",
                                "Requests in progress."};
 constexpr MetricInfo kServers{"bambootack_gateway_servers", "gauge",
@@ -47,10 +51,9 @@
                             "1 if this VM takes traffic."};
 
 constexpr std::array kCatalogue{
-    kAnswers,    kAttempts, kHealthChanges, kDispatcherTimeouts,
-    kStoreCalls, kLatency,  kSlotWait,      kInFlight,
-    kServers,    kMembers,  kConfigVersion, kStateAge,
-    kReady};
+    kAnswers,   kAttempts, kHealthChanges, kDispatcherTimeouts, kStoreCalls,
+    kPeerBytes, kLatency,  kSlotWait,      kTimerDelay,         kInFlight,
+    kServers,   kMembers,  kConfigVersion, kStateAge,           kReady};
 
 }  // namespace
 
@@ -79,6 +82,7 @@
   metrics::WriteCounts(out, kHealthChanges, health_changes_);
   metrics::WriteValue(out, kDispatcherTimeouts, dispatcher_timeouts_);
   metrics::WriteValue(out, kStoreCalls, store_calls_);
+  metrics::WriteValue(out, kPeerBytes, peer_bytes_);
   metrics::WriteHead(out, kLatency);
   for (const auto& [priority, histogram] : latency_) {
     histogram.Write(out, kLatency.name,
@@ -86,6 +90,8 @@
   }
   metrics::WriteHead(out, kSlotWait);
   slot_wait_.Write(out, kSlotWait.name, "");
+  metrics::WriteHead(out, kTimerDelay);
+  timer_delay_.Write(out, kTimerDelay.name, "");
   metrics::WriteValue(out, kInFlight, gauges.in_flight);
   metrics::WriteValue(out, kServers, gauges.servers);
   metrics::WriteValue(out, kMembers, gauges.members);
--- a/src/bambootack/gateway/metrics.h
+++ b/src/bambootack/gateway/metrics.h
@@ -49,6 +49,9 @@
   /// @brief Counts a call to the platform's store.
   void CountStoreCall() noexcept { ++store_calls_; }
 
+  /// @brief Counts the encoded size of a message to a peer.
+  void CountPeerBytes(std::size_t bytes) noexcept { peer_bytes_ += bytes; }
+
   /// @brief Adds the time from a request to its answer.
   /// @param priority Priority of its route.
   void ObserveLatency(int priority, core::Duration value);
@@ -56,6 +59,10 @@
   /// @brief Adds the time that a request waited for a slot.
   void ObserveSlotWait(core::Duration value) { slot_wait_.Observe(value); }
 
+  /// @brief Adds the delay of a timer's handler. It is long while the VM lacks
+  /// processor time.
+  void ObserveTimerDelay(core::Duration value) { timer_delay_.Observe(value); }
+
   /// @brief All metrics in the Prometheus text format.
   [[nodiscard]] std::string Text(const GatewayGauges& gauges) const;
 
@@ -67,8 +74,10 @@
   Counts health_changes_;
   std::uint64_t dispatcher_timeouts_ = 0;
   std::uint64_t store_calls_ = 0;
+  std::uint64_t peer_bytes_ = 0;
   std::map<int, metrics::TimeHistogram> latency_;
   metrics::TimeHistogram slot_wait_;
+  metrics::TimeHistogram timer_delay_;
 };
 
 }  // namespace bambootack::gateway
--- a/src/bambootack/gateway/state_sync.cc
+++ b/src/bambootack/gateway/state_sync.cc
@@ -103,11 +103,22 @@
 void StateSync::SendUpdateToDomain(core::Time now) {
   const StateUpdate update = BuildUpdate(last_sent_position_, now);
   last_sent_position_ = position_;
+  std::size_t receivers = 0;
   for (const auto& [vm, member] : peers_.Peers()) {
     if (member.failure_domain == failure_domain_) {
       outgoing_messages_.emplace_back(vm, update);
+      ++receivers;
     }
   }
+  RecordSentUpdate(update, receivers);
+}
+
+void StateSync::RecordSentUpdate(const StateUpdate& update, std::size_t peers) {
+  if (peers > 0 && (!update.servers.empty() || update.config)) {
+    sent_updates_.push_back({peers, update.from, update.position,
+                             update.servers.size(), update.config_version,
+                             update.config.has_value()});
+  }
 }
 
 void StateSync::SendQuery(core::VmId vm, core::Time now) {
@@ -158,6 +169,7 @@
   if (config_ && config_->version > query.config_version) {
     update.config = config_;
   }
+  RecordSentUpdate(update, 1);
   outgoing_messages_.emplace_back(from, std::move(update));
 }
 
--- a/src/bambootack/gateway/state_sync.h
+++ b/src/bambootack/gateway/state_sync.h
@@ -1,6 +1,7 @@
 #ifndef BAMBOOTACK_GATEWAY_STATE_SYNC_H_
 #define BAMBOOTACK_GATEWAY_STATE_SYNC_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -17,6 +18,16 @@
 
 namespace bambootack::gateway {
 
+/// @brief An update that was sent to peers, for the log.
+struct SentUpdate {
+  std::size_t peers = 0;  ///< Receivers.
+  std::uint64_t from = 0;
+  std::uint64_t position = 0;
+  std::size_t changes = 0;  ///< Server changes in the update.
+  std::uint64_t config_version = 0;
+  bool has_config = false;
+};
+
 /// @brief Synchronizes configuration and servers between the gateways. One VM
 /// of each failure domain, the store reader, reads the platform's store and
 /// updates the peers in its domain. A VM whose state becomes stale reads the
@@ -100,6 +111,12 @@
     return std::exchange(outgoing_messages_, {});
   }
 
+  /// @brief Takes the descriptions of the updates sent since the last call that
+  /// contain servers or a configuration.
+  [[nodiscard]] std::vector<SentUpdate> TakeSentUpdates() {
+    return std::exchange(sent_updates_, {});
+  }
+
  private:
   [[nodiscard]] core::VmId StoreReaderOfDomain(core::Time now) const;
   [[nodiscard]] core::Time StaleAt() const;
@@ -110,6 +127,7 @@
   [[nodiscard]] StateUpdate BuildUpdate(std::uint64_t position,
                                         core::Time now) const;
   void SendUpdateToDomain(core::Time now);
+  void RecordSentUpdate(const StateUpdate& update, std::size_t peers);
   void SendQuery(core::VmId vm, core::Time now);
 
   core::VmId self_;
@@ -130,6 +148,7 @@
   /// are not chosen.
   std::map<core::VmId, core::Time> skipped_until_;
   std::vector<OutgoingMessage> outgoing_messages_;
+  std::vector<SentUpdate> sent_updates_;
   bool fleet_known_ = false;
 };
 
--- a/src/bambootack/log/event.cc
+++ b/src/bambootack/log/event.cc
@@ -106,6 +106,9 @@
     EventInfo{EventId::kRoomAwaited, LogLevel::kInfo, "room-awaited",
               "a patient request leaves room for urgent ones and asks again",
               LineLimit::kRequest},
+    EventInfo{EventId::kStateSent, LogLevel::kInfo, "state-sent",
+              "this VM sent configuration or servers to peers",
+              LineLimit::kRequest},
 };
 
 }  // namespace
--- a/src/bambootack/log/event.h
+++ b/src/bambootack/log/event.h
@@ -56,6 +56,7 @@
   kServerCrashed = 714,
   kRecordsExpired = 715,
   kRoomAwaited = 716,
+  kStateSent = 717,
 };
 
 /// @brief How often an event is written; see `LineLimiter`.
--- a/src/gateway/peer_messenger.cc
+++ b/src/gateway/peer_messenger.cc
@@ -30,13 +30,15 @@
     transport_.SetPeers(std::move(members));
   }
 
-  void Send(core::VmId vm, const gateway::PeerMessage& message) {
+  std::size_t Send(core::VmId vm, const gateway::PeerMessage& message) {
     std::string bytes = gateway::Encode(message);
-    if (bytes.size() <= kMaxDatagramMessageBytes) {
+    const std::size_t n = bytes.size();
+    if (n <= kMaxDatagramMessageBytes) {
       transport_.SendDatagram(vm, std::move(bytes));
     } else {
       transport_.Send(vm, std::move(bytes));
     }
+    return n;
   }
 
  private:
@@ -108,8 +110,9 @@
   impl_->SetMembers(std::move(members));
 }
 
-void PeerMessenger::Send(core::VmId vm, const gateway::PeerMessage& message) {
-  impl_->Send(vm, message);
+std::size_t PeerMessenger::Send(core::VmId vm,
+                                const gateway::PeerMessage& message) {
+  return impl_->Send(vm, message);
 }
 
 }  // namespace bambootack::gateway_daemon
--- a/src/gateway/peer_messenger.h
+++ b/src/gateway/peer_messenger.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_PEER_MESSENGER_H_
 #define GATEWAY_PEER_MESSENGER_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -45,7 +46,8 @@
   void SetMembers(std::vector<membership::Member> members);
 
   /// @brief Sends a message to a VM. A lost message is not reported.
-  void Send(core::VmId vm, const gateway::PeerMessage& message);
+  /// @return Encoded size of the message in bytes, without its seal.
+  std::size_t Send(core::VmId vm, const gateway::PeerMessage& message);
 
  private:
   class Impl;
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -54,11 +54,13 @@
 
 constexpr auto kFlushTimeout = std::chrono::milliseconds(200);
 
-core::Time Now() {
-  return core::Time(std::chrono::duration_cast<core::Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+core::Time FromSteady(std::chrono::steady_clock::time_point time) {
+  return core::Time(
+      std::chrono::duration_cast<core::Duration>(time.time_since_epoch()));
 }
 
+core::Time Now() { return FromSteady(std::chrono::steady_clock::now()); }
+
 std::chrono::steady_clock::time_point ToSteady(core::Time time) {
   return std::chrono::steady_clock::time_point(
       std::chrono::duration_cast<std::chrono::steady_clock::duration>(
@@ -235,6 +237,8 @@
     timer_.expires_at(ToSteady(std::max(*next, now)));
     timer_.async_wait([this](std::error_code ec) {
       if (!ec) {
+        gateway_.Metrics().ObserveTimerDelay(Now() -
+                                             FromSteady(timer_.expiry()));
         ProcessEvents();
       }
     });
@@ -328,7 +332,8 @@
 
   void Perform(const gateway::SendToPeer& action, core::Time /*now*/) {
     if (peers_) {
-      peers_->Send(action.vm, action.message);
+      gateway_.Metrics().CountPeerBytes(
+          peers_->Send(action.vm, action.message));
     }
   }
 
