Send a failure domain only the changes that it lacks, within a budget

Cause: a VM that hears nothing from its store reader passes it over, each 250 ms another one. In an outage of the store nobody hears anything, so that after 8 s about half of all VMs take themselves for the reader. When the store answers, each sends its whole state to its domain, since it counts from the last update that it sent itself, which is none. 4 MB fill a link of 10 Mbit/s for 3.2 s, and its queries, its reads of the store and the new connections to servers wait behind them. Class: work that grows with the fleet, done by all at once at the end of a common fault. A restarted reader did the same alone, and a configuration of many routes was answered to the whole domain by one VM.

Change: the reader sends what changed since the domain was last told, by whichever reader; state beyond the budget of a VM (256 KB at once, 256 KB/s) is announced and fetched from any VM that has it; a reader is passed over only if another source had the state meanwhile.

--- a/src/bambootack/gateway/state_sync.cc
+++ b/src/bambootack/gateway/state_sync.cc
@@ -26,6 +26,35 @@
 /// reads the store itself after this time.
 constexpr core::Duration kMaxTimeBehind = std::chrono::milliseconds(500);
 
+/// Encoded sizes without the bytes of strings.
+constexpr std::size_t kUpdateBytes = 64;
+constexpr std::size_t kChangeBytes = 80;
+constexpr std::size_t kRouteBytes = 80;
+constexpr std::size_t kServiceBytes = 16;
+
+/// Approximate size of an update on the wire.
+std::size_t SizeOf(const StateUpdate& update) {
+  std::size_t bytes = kUpdateBytes;
+  for (const ServerChange& it : update.servers) {
+    bytes += kChangeBytes + it.record.id.size() + it.record.service.size() +
+             it.record.address.size() + it.record.failure_domain.size();
+  }
+  if (!update.config) {
+    return bytes;
+  }
+  for (const GatewayRoute& it : update.config->routes) {
+    bytes +=
+        kRouteBytes + it.id.size() + it.host.size() + it.path_prefix.size();
+    for (const WeightedService& part : it.weighted_services) {
+      bytes += kServiceBytes + part.service.size();
+    }
+  }
+  for (const std::string& it : update.config->services) {
+    bytes += kServiceBytes + it.size();
+  }
+  return bytes;
+}
+
 }  // namespace
 
 core::VmId StateSync::StoreReaderOfDomain(core::Time now) const {
@@ -55,8 +84,9 @@
 }
 
 bool StateSync::ShouldReadStore(core::Time now) const {
+  // Before the first state, the time of the first read applies.
   const bool behind_too_long =
-      behind_since_ && now >= *behind_since_ + kMaxTimeBehind;
+      confirmed_at_ && behind_since_ && now >= *behind_since_ + kMaxTimeBehind;
   return now >= StaleAt() || behind_too_long ||
          ((confirmed_at_ || fleet_known_) && IsStoreReader(now));
 }
@@ -73,13 +103,31 @@
 void StateSync::RecordStoreRead(std::uint64_t position, core::Time confirmed,
                                 core::Time now) {
   position_ = std::max(position_, position);
-  confirmed_at_ = std::max(confirmed_at_.value_or(confirmed), confirmed);
+  ConfirmState(self_, confirmed, now);
   UpdateBehindSince(now);
   if (IsStoreReader(now)) {
     SendUpdateToDomain(now);
   }
 }
 
+/// Records when the store confirmed the state. A VM whose state was stale until
+/// another source than its store reader confirmed it skips that reader. While
+/// nobody can read the store, no reader is skipped: VMs that do not hear each
+/// other would otherwise all become readers.
+void StateSync::ConfirmState(core::VmId source, core::Time confirmed,
+                             core::Time now) {
+  const bool was_stale = confirmed_at_ && now >= StaleAt();
+  confirmed_at_ = std::max(confirmed_at_.value_or(confirmed), confirmed);
+  if (now >= confirmed + kMaxStateAge) {
+    return;
+  }
+  skipped_until_.erase(source);
+  const core::VmId store_reader = StoreReaderOfDomain(now);
+  if (was_stale && store_reader != self_ && store_reader != source) {
+    skipped_until_[store_reader] = now + kSkipTime;
+  }
+}
+
 void StateSync::UpdateConfig(const GatewayConfig& config, core::Time now) {
   config_ = config;
   UpdateBehindSince(now);
@@ -88,29 +136,37 @@
   }
 }
 
-StateUpdate StateSync::BuildUpdate(std::uint64_t position,
-                                   core::Time now) const {
+StateUpdate StateSync::BuildUpdate(std::uint64_t from, core::Time now) const {
   StateUpdate update;
-  update.from = position;
+  update.from = from;
   update.position = position_;
   update.age = std::chrono::duration_cast<core::Duration>(
       now - confirmed_at_.value_or(core::Time{}));
-  update.servers = registry_.ChangesSince(position, now);
+  update.servers = registry_.ChangesSince(from, now);
   update.config_version = ConfigVersion();
   return update;
 }
 
 void StateSync::SendUpdateToDomain(core::Time now) {
-  const StateUpdate update = BuildUpdate(last_sent_position_, now);
-  last_sent_position_ = position_;
-  std::size_t receivers = 0;
+  std::vector<core::VmId> receivers;
   for (const auto& [vm, member] : peers_.Peers()) {
     if (member.failure_domain == failure_domain_) {
-      outgoing_messages_.emplace_back(vm, update);
-      ++receivers;
+      receivers.push_back(vm);
     }
   }
-  RecordSentUpdate(update, receivers);
+  StateUpdate update = BuildUpdate(domain_position_, now);
+  const bool sends_changes =
+      update.servers.empty() ||
+      send_budget_.TrySpendWhole(receivers.size() * SizeOf(update), now);
+  if (!sends_changes) {
+    update.from = position_;
+    update.servers.clear();
+  }
+  domain_position_ = position_;
+  RecordSentUpdate(update, receivers.size());
+  for (const core::VmId vm : receivers) {
+    outgoing_messages_.emplace_back(vm, update);
+  }
 }
 
 void StateSync::RecordSentUpdate(const StateUpdate& update, std::size_t peers) {
@@ -146,13 +202,12 @@
     }
   }
   position_ = std::max(position_, update.position);
-  const core::Time confirmed = now - update.age;
-  if (!confirmed_at_ || *confirmed_at_ < confirmed) {
-    confirmed_at_ = confirmed;
-  }
-  if (update.age < kMaxStateAge) {
-    skipped_until_.erase(from);
+  const auto sender = peers_.Peers().find(from);
+  if (sender != peers_.Peers().end() &&
+      sender->second.failure_domain == failure_domain_) {
+    domain_position_ = std::max(domain_position_, update.position);
   }
+  ConfirmState(from, now - update.age, now);
   UpdateBehindSince(now);
   if (!update.config && update.config_version > ConfigVersion()) {
     SendQuery(from, now);
@@ -169,6 +224,9 @@
   if (config_ && config_->version > query.config_version) {
     update.config = config_;
   }
+  if (!send_budget_.TrySpend(SizeOf(update), now)) {
+    return;
+  }
   RecordSentUpdate(update, 1);
   outgoing_messages_.emplace_back(from, std::move(update));
 }
@@ -178,10 +236,6 @@
   if ((current && !behind_since_) || now < next_query_at_) {
     return;
   }
-  const core::VmId store_reader = StoreReaderOfDomain(now);
-  if (confirmed_at_ && !current && store_reader != self_) {
-    skipped_until_[store_reader] = now + kSkipTime;
-  }
   const auto& peers = peers_.Peers();
   if (!peers.empty()) {
     const auto step = static_cast<std::ptrdiff_t>(random.Below(peers.size()));
--- a/src/bambootack/gateway/state_sync.h
+++ b/src/bambootack/gateway/state_sync.h
@@ -14,6 +14,7 @@
 #include "bambootack/core/time.h"
 #include "bambootack/gateway/messages.h"
 #include "bambootack/gateway/peer_directory.h"
+#include "bambootack/gateway/send_budget.h"
 #include "bambootack/gateway/server_registry.h"
 
 namespace bambootack::gateway {
@@ -30,8 +31,10 @@
 
 /// @brief Synchronizes configuration and servers between the gateways. One VM
 /// of each failure domain, the store reader, reads the platform's store and
-/// updates the peers in its domain. A VM whose state becomes stale reads the
-/// store itself and queries random peers.
+/// sends the changes to the peers in its domain; a configuration, or changes
+/// too large to send to all of them, it only announces. A VM whose state is
+/// stale or behind queries peers and reads the store itself. Updates stay
+/// within a budget: a VM with a slow link would delay its other messages.
 class StateSync {
  public:
   /// @brief Receiver and message.
@@ -45,7 +48,8 @@
       : self_(self),
         failure_domain_(std::move(failure_domain)),
         registry_(registry),
-        peers_(peers) {}
+        peers_(peers),
+        send_budget_(kSendBytesPerSecond, kSendBurstBytes) {}
 
   /// @brief Sets when this VM reads the store at the latest if no peer has sent
   /// state.
@@ -74,7 +78,7 @@
                        core::Time now);
 
   /// @brief Sets the configuration in force, which is sent in answers to
-  /// queries.
+  /// queries, and announces its version to the domain.
   void UpdateConfig(const GatewayConfig& config, core::Time now);
 
   /// @brief Applies the servers of a peer's update to the registry. The caller
@@ -83,11 +87,11 @@
   std::vector<ServerChange> Receive(core::VmId from, const StateUpdate& update,
                                     core::Time now);
 
-  /// @brief Answers a peer's query, or ignores it while this VM has no state.
+  /// @brief Answers a peer's query, or ignores it while this VM has no state or
+  /// its budget is spent. The peer then queries another VM.
   void Receive(core::VmId from, const StateQuery& query, core::Time now);
 
-  /// @brief Queries a random peer if the state of this VM is stale or behind,
-  /// and skips a store reader that sent no recent update.
+  /// @brief Queries a random peer if the state of this VM is stale or behind.
   void OnTimer(core::Time now, core::Random& random);
 
   /// @brief Next time to call `OnTimer` and to check `ShouldReadStore`.
@@ -118,13 +122,18 @@
   }
 
  private:
+  /// A fifth of the slowest links, 10 Mbit/s, and what they carry in 0.2 s.
+  static constexpr std::uint64_t kSendBytesPerSecond = 256UL * 1024;
+  static constexpr std::uint64_t kSendBurstBytes = 256UL * 1024;
+
   [[nodiscard]] core::VmId StoreReaderOfDomain(core::Time now) const;
   [[nodiscard]] core::Time StaleAt() const;
+  void ConfirmState(core::VmId source, core::Time confirmed, core::Time now);
   [[nodiscard]] std::uint64_t ConfigVersion() const noexcept {
     return config_ ? config_->version : 0;
   }
   void UpdateBehindSince(core::Time now);
-  [[nodiscard]] StateUpdate BuildUpdate(std::uint64_t position,
+  [[nodiscard]] StateUpdate BuildUpdate(std::uint64_t from,
                                         core::Time now) const;
   void SendUpdateToDomain(core::Time now);
   void RecordSentUpdate(const StateUpdate& update, std::size_t peers);
@@ -138,14 +147,16 @@
   std::optional<core::Time> confirmed_at_;
   core::Time first_read_at_{};
   std::optional<GatewayConfig> config_;
-  /// Position in the last update to the domain.
-  std::uint64_t last_sent_position_ = 0;
+  /// Position that the VMs of the domain have been sent, by this VM or by
+  /// another store reader. One that missed an update queries for it.
+  std::uint64_t domain_position_ = 0;
+  SendBudget send_budget_;
   core::Time next_query_at_{};
   std::uint64_t highest_peer_position_ = 0;
   std::uint64_t highest_peer_version_ = 0;  ///< Of the configuration.
   std::optional<core::Time> behind_since_;
-  /// Store readers that sent no recent update, with the time until which they
-  /// are not chosen.
+  /// Store readers that sent no update while the state could be read, with the
+  /// time until which they are not chosen.
   std::map<core::VmId, core::Time> skipped_until_;
   std::vector<OutgoingMessage> outgoing_messages_;
   std::vector<SentUpdate> sent_updates_;
--- a/test/bambootack/gateway/state_sync_test.cc
+++ b/test/bambootack/gateway/state_sync_test.cc
@@ -143,6 +143,55 @@
   BOOST_TEST(StoreReaders().size() == 2U);
 }
 
+// Guards against many store readers after an outage of the store: each VM
+// passed over the readers that could not update it until it was first itself.
+BOOST_AUTO_TEST_CASE(an_outage_of_the_store_creates_no_store_readers) {
+  for (const core::VmId it : StoreReaders()) {
+    ReadStore(it);
+  }
+  for (int i = 0; i < 32; ++i) {
+    now += milliseconds(250);
+    RunTimers();
+  }
+  std::size_t readers = 0;
+  for (auto& [vm, it] : vms) {
+    readers += it->sync.IsStoreReader(now) ? 1 : 0;
+  }
+  BOOST_TEST(readers == 2U);
+}
+
+// Guards against a new store reader that sends its whole state to a domain that
+// the reader before it has updated.
+BOOST_AUTO_TEST_CASE(a_new_store_reader_sends_only_its_own_changes) {
+  const auto readers = StoreReaders();
+  for (const core::VmId it : readers) {
+    for (std::uint64_t i = 0; i < 20; ++i) {
+      vms[it]->registry.Apply(Record("s" + std::to_string(i), 1), i, now);
+    }
+  }
+  position = 20;
+  for (const core::VmId it : readers) {
+    ReadStore(it);
+  }
+  RunTimers();
+  stopped.insert(readers.front());
+  now += milliseconds(1600);
+  RunTimers();
+  for (auto& [vm, it] : vms) {
+    static_cast<void>(it->sync.TakeSentUpdates());
+  }
+  position = 21;
+  for (const core::VmId it : StoreReaders()) {
+    vms[it]->registry.Apply(Record("new", 1), 20, now);
+    ReadStore(it);
+  }
+  for (auto& [vm, it] : vms) {
+    for (const SentUpdate& update : it->sync.TakeSentUpdates()) {
+      BOOST_TEST(update.changes <= 1U);
+    }
+  }
+}
+
 // Guards against a VM that cannot read the store and misses a change.
 BOOST_AUTO_TEST_CASE(a_vm_rejected_by_the_store_is_updated_by_peers) {
   for (const core::VmId it : StoreReaders()) {
--- a/test/platform/configuration_delivery_test.cc
+++ b/test/platform/configuration_delivery_test.cc
@@ -35,8 +35,7 @@
 
 // Guards against the store readers of an outage: each VM took itself for the
 // reader, sent its whole state to the domain and filled its own link.
-BOOST_AUTO_TEST_CASE(a_store_outage_does_not_delay_the_next_configuration,
-                     *boost::unit_test::expected_failures(2)) {
+BOOST_AUTO_TEST_CASE(a_store_outage_does_not_delay_the_next_configuration) {
   SimulatedFleet fleet({});
   fleet.RunFor(seconds(12));
   BOOST_TEST(fleet.VmsWithoutVersion(1).empty());
@@ -56,8 +55,7 @@
 
 // Guards against a new store reader that sends the whole state to a domain that
 // already has it.
-BOOST_AUTO_TEST_CASE(a_restarted_store_reader_does_not_fill_its_link,
-                     *boost::unit_test::expected_failures(1)) {
+BOOST_AUTO_TEST_CASE(a_restarted_store_reader_does_not_fill_its_link) {
   SimulatedFleet fleet({});
   fleet.RunFor(seconds(12));
   static_cast<void>(fleet.TakeLongestLinkWait());
@@ -71,8 +69,8 @@
 
 // Guards against a store reader that answers the queries of its whole domain
 // for a configuration of many routes.
-BOOST_AUTO_TEST_CASE(a_large_configuration_does_not_fill_the_link_of_its_reader,
-                     *boost::unit_test::expected_failures(1)) {
+BOOST_AUTO_TEST_CASE(
+    a_large_configuration_does_not_fill_the_link_of_its_reader) {
   SimulatedFleet fleet({});
   fleet.RunFor(seconds(12));
   static_cast<void>(fleet.TakeLongestLinkWait());
