Apply a new configuration to requests that wait for another attempt

Cause: a request keeps the route that it was admitted with; one whose connections fail for half a second runs by a table that its VM has replaced. Class: a decision kept longer than what it rests on.

Change: each slot request looks the route up again if the table was replaced. A removed route ends the request with 404, or with its last error if a server may have run it; a route that may no longer be repeated ends its retries. Deadlines stay.

Tests, all failing before: a_retry_follows_the_configuration_in_force, a_retry_on_a_removed_route_is_refused, a_route_that_is_no_longer_repeatable_ends_retries.

--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -77,15 +77,23 @@
     return core::ErrorKind::kMalformedRequest;
   }
   request.id = std::string(*id);
-  request.table = routes_;
-  request.route =
+  return FindRoute(request) ? std::nullopt
+                            : std::optional(core::ErrorKind::kNoRoute);
+}
+
+/// Sets the route and the service of a request by the configuration in force.
+/// @return False, with nothing changed, if no route matches.
+bool Gateway::FindRoute(Request& request) const {
+  const GatewayRoute* route =
       routes_->Find(core::FindHeader(request.http.headers, "Host").value_or(""),
                     core::PathOf(request.http.target));
-  if (request.route == nullptr) {
-    return core::ErrorKind::kNoRoute;
+  if (route == nullptr) {
+    return false;
   }
-  request.service = std::string(ChooseService(*request.route, request.id));
-  return std::nullopt;
+  request.table = routes_;
+  request.route = route;
+  request.service = std::string(ChooseService(*route, request.id));
+  return true;
 }
 
 void Gateway::OnRequest(core::CallerId caller, core::HttpRequest http,
--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -175,7 +175,8 @@
     core::HttpRequest http;
     std::string id;
     std::uint64_t fingerprint = 0;
-    std::shared_ptr<const RouteTable> table;  ///< Owns the route.
+    /// Owns the route; the table in force at the last slot request.
+    std::shared_ptr<const RouteTable> table;
     const GatewayRoute* route = nullptr;
     std::string service;
     core::Time arrived{};
@@ -234,6 +235,8 @@
 
   [[nodiscard]] std::optional<core::ErrorKind> ResolveRoute(
       Request& request) const;
+  [[nodiscard]] bool FindRoute(Request& request) const;
+  [[nodiscard]] bool ApplyCurrentRoute(core::Handle handle, core::Time now);
   [[nodiscard]] SlotRequirements RequirementsOf(const Request& request,
                                                 core::Time now) const;
   [[nodiscard]] bool TryNextGroup(core::Handle handle, core::Time now);
--- a/src/bambootack/gateway/gateway_attempts.cc
+++ b/src/bambootack/gateway/gateway_attempts.cc
@@ -91,7 +91,44 @@
   return requirements;
 }
 
+/// Applies a configuration that came into force since the last attempt of a
+/// request, which may have moved, limited or removed its route.
+/// @return False if the request was refused or continues with the attempt in
+/// flight.
+bool Gateway::ApplyCurrentRoute(core::Handle handle, core::Time now) {
+  Request& request = *requests_.Find(handle);
+  if (request.table == routes_) {
+    return true;
+  }
+  const std::string previous_service = request.service;
+  const bool found = FindRoute(request);
+  const bool may_repeat =
+      request.possible_executions == 0 ||
+      (request.route->repeatable &&
+       request.possible_executions < request.route->max_attempts);
+  if (found && may_repeat) {
+    if (request.service != previous_service) {
+      request.group = static_cast<std::uint32_t>(
+          random_.Below(pool_.GroupCountOf(request.service)));
+      request.groups_without_slot = 0;
+    }
+    return true;
+  }
+  if (request.attempt) {
+    UpdateTimer(handle, request);
+  } else {
+    Refuse(handle,
+           request.possible_executions > 0 ? request.last_error
+                                           : core::ErrorKind::kNoRoute,
+           now);
+  }
+  return false;
+}
+
 void Gateway::RequestSlot(core::Handle handle, core::Time now) {
+  if (!ApplyCurrentRoute(handle, now)) {
+    return;
+  }
   Request& request = *requests_.Find(handle);
   ++request.slot_requests;
   SlotRequirements requirements = RequirementsOf(request, now);
--- a/test/bambootack/gateway/gateway_test.cc
+++ b/test/bambootack/gateway/gateway_test.cc
@@ -230,6 +230,60 @@
   BOOST_TEST(Status() == 200);
 }
 
+// Guards against a request that waits in retries and then runs as only an older
+// version allows: its VM already knew the newer one.
+BOOST_AUTO_TEST_CASE(a_retry_follows_the_configuration_in_force) {
+  Configure();
+  ServerRecord record;
+  record.id = "p1";
+  record.service = "pay";
+  record.address = "10.0.9.1:80";
+  record.failure_domain = "west";
+  record.slots = 2;
+  gateway.Registry().Apply(record, 90, now);
+  gateway.ApplyRegistry(now);
+  SendRequest(1, "/book/1");
+  BOOST_TEST(attempts[0].address != record.address);
+  GatewayConfig config;
+  config.version = 2;
+  config.services = {"desk", "pay"};
+  config.routes = {Route("book", "/book/", false)};
+  config.routes[0].weighted_services = {{"pay", 1.0}};
+  gateway.Configure(config, now);
+  FinishAttempt(attempts[0].id, AttemptEnd::kNotConnected);
+  BOOST_TEST_REQUIRE(attempts.size() == 1U);
+  BOOST_TEST(attempts[0].address == record.address);
+}
+
+BOOST_AUTO_TEST_CASE(a_retry_on_a_removed_route_is_refused) {
+  Configure();
+  SendRequest(1, "/book/1");
+  SendRequest(2, "/read/2");
+  GatewayConfig config;
+  config.version = 2;
+  config.services = {"desk"};
+  gateway.Configure(config, now);
+  FinishAttempt(1, AttemptEnd::kNotConnected);
+  BOOST_TEST(Status() == 404);
+  FinishAttempt(2, AttemptEnd::kLost);
+  BOOST_TEST(Status() == 502);
+}
+
+// Guards against a request that runs twice because its route may no longer be
+// repeated.
+BOOST_AUTO_TEST_CASE(a_route_that_is_no_longer_repeatable_ends_retries) {
+  Configure();
+  SendRequest(1, "/read/1");
+  GatewayConfig config;
+  config.version = 2;
+  config.services = {"desk"};
+  config.routes = {Route("read", "/read/", false)};
+  gateway.Configure(config, now);
+  FinishAttempt(1, AttemptEnd::kLost);
+  BOOST_TEST(attempts.empty());
+  BOOST_TEST(Status() == 502);
+}
+
 BOOST_AUTO_TEST_CASE(lower_versions_do_not_replace_higher_ones) {
   Configure(5);
   GatewayConfig old;
