Reject answers whose connection closes within the head

It could happen here: libcurl reports success for a connection that closes after the status line, and the gateway forwarded status, signature and an empty body if these fields had arrived.

Change: a call whose head did not end is kInvalid, like any other truncated answer.

--- a/src/bambootack/net/http_client.cc
+++ b/src/bambootack/net/http_client.cc
@@ -179,11 +179,13 @@
   return n;
 }
 
-node::AttemptEnd EndOf(CURLcode code, bool sending) {
+node::AttemptEnd EndOf(CURLcode code, const Transfer& transfer) {
   if (code == CURLE_OK) {
-    return node::AttemptEnd::kAnswered;
+    // libcurl also reports success for a connection that closes in the head.
+    return transfer.headers_done ? node::AttemptEnd::kAnswered
+                                 : node::AttemptEnd::kInvalid;
   }
-  if (!sending) {
+  if (!transfer.sending) {
     return node::AttemptEnd::kNotConnected;
   }
   switch (code) {
@@ -382,7 +384,7 @@
     transfers_.erase(it);
     curl_multi_remove_handle(multi_.get(), easy);
     HttpCallResult result;
-    result.end = EndOf(code, transfer->sending);
+    result.end = EndOf(code, *transfer);
     if (result.end == node::AttemptEnd::kAnswered) {
       result.answer = std::move(transfer->answer);
     }
--- a/test/bambootack/gateway/gateway_test.cc
+++ b/test/bambootack/gateway/gateway_test.cc
@@ -125,6 +125,19 @@
   }
 }
 
+// Guards against a refusal of an earlier request that counts as a promise for a
+// booking which the server executes.
+BOOST_AUTO_TEST_CASE(a_refusal_of_another_request_promises_nothing) {
+  Configure();
+  for (const int status : {421, 429, 503}) {
+    SendRequest(1, "/book/1");
+    AnswerAttempt(attempts[0].id, status,
+                  {{"Request-Id", "0"}, {"Not-Run", "1"}});
+    BOOST_TEST(attempts.empty());
+    BOOST_TEST(Status() == 502);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_error_of_a_server_is_forwarded) {
   Configure();
   SendRequest(1, "/book/1");
