Limit the bytes of answers that never end

The head was limited to 64 KB, and a body to 64 MB for each call, so that two endless bodies exceeded the memory of the smallest VMs (112 MB). The extension of a chunk was read without any limit until the deadline of the request.

Change: 8 MB for one body, 24 MB for all bodies in flight; framing beyond eight bytes for each byte of the body and 64 KB ends the call. It is kInvalid and its connection closed.

Tests: endless_answers_are_cut_off (eleven places where bytes may come without end; the chunk extension failed before, 33 MB read), bodies_in_progress_share_a_limit (failed before).

--- a/src/bambootack/net/http_client.cc
+++ b/src/bambootack/net/http_client.cc
@@ -38,6 +38,11 @@
 constexpr int kProbes = 2;
 
 constexpr std::size_t kMaxHeaderBytes = 64UL * 1024;
+
+/// Bytes received for each byte of a body, in chunks of one byte, and those
+/// beyond that. libcurl reads chunk extensions of any length.
+constexpr std::size_t kMaxBytesPerBodyByte = 8;
+constexpr std::size_t kMaxFramingBytes = 64UL * 1024;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
@@ -55,18 +60,32 @@
 using MultiHandle = std::unique_ptr<CURLM, MultiDeleter>;
 using HeaderList = std::unique_ptr<curl_slist, ListDeleter>;
 
+/// Bytes of the bodies in flight. Used on the client's thread only.
+struct BodyMemory {
+  AnswerLimits limits;
+  std::size_t used = 0;
+};
+
 /// One call in flight. libcurl keeps pointers into it.
 struct Transfer {
+  explicit Transfer(BodyMemory& memory) : body_memory(memory) {}
+  ~Transfer() { body_memory.used -= body_bytes; }
+  Transfer(const Transfer&) = delete;
+  Transfer& operator=(const Transfer&) = delete;
+
+  BodyMemory& body_memory;
+  std::size_t body_bytes = 0;  ///< Part of `body_memory.used`.
   std::uint64_t id = 0;
   HttpCall call;
   HttpClient::OnResult on_result;
   EasyHandle easy;
   HeaderList headers;
   core::HttpAnswer answer;
-  std::size_t max_body_bytes = 0;
   std::size_t header_bytes = 0;
-  bool sending = false;       ///< Bytes of the request may have been sent.
-  bool headers_done = false;  ///< Further header lines are trailers.
+  std::size_t framed_bytes = 0;  ///< Received after the head.
+  bool oversized = false;        ///< Its framing exceeds the limits.
+  bool sending = false;          ///< Bytes of the request may have been sent.
+  bool headers_done = false;     ///< Further header lines are trailers.
 };
 
 /// Called before each sending of the request, which libcurl would repeat by
@@ -97,13 +116,37 @@
                    void* user) {
   auto* transfer = static_cast<Transfer*>(user);
   const std::size_t n = size * count;
-  if (transfer->answer.body.size() + n > transfer->max_body_bytes) {
+  BodyMemory& memory = transfer->body_memory;
+  if (transfer->body_bytes + n > memory.limits.body_bytes ||
+      memory.used + n > memory.limits.total_body_bytes) {
     return 0;
   }
+  transfer->body_bytes += n;
+  memory.used += n;
   transfer->answer.body.append(data, n);
   return n;
 }
 
+/// Called with all bytes received, before libcurl decodes them.
+int OnTrace(CURL* /*easy*/, curl_infotype type, char* /*data*/,
+            std::size_t size, void* user) {
+  auto* transfer = static_cast<Transfer*>(user);
+  if (type == CURLINFO_DATA_IN) {
+    transfer->framed_bytes += size;
+  }
+  return 0;
+}
+
+/// Called during a transfer; ends it if it returns something else than 0.
+int OnProgress(void* user, curl_off_t /*to_receive*/, curl_off_t /*received*/,
+               curl_off_t /*to_send*/, curl_off_t /*sent*/) {
+  auto* transfer = static_cast<Transfer*>(user);
+  transfer->oversized =
+      transfer->framed_bytes >
+      transfer->body_bytes * kMaxBytesPerBodyByte + kMaxFramingBytes;
+  return transfer->oversized ? 1 : 0;
+}
+
 int StatusOf(std::string_view line) {
   const std::size_t blank = line.find(' ');
   int status = 0;
@@ -188,6 +231,9 @@
   if (!transfer.sending) {
     return node::AttemptEnd::kNotConnected;
   }
+  if (transfer.oversized) {
+    return node::AttemptEnd::kInvalid;
+  }
   switch (code) {
     case CURLE_OPERATION_TIMEDOUT:
       return node::AttemptEnd::kTimedOut;
@@ -214,8 +260,8 @@
 
 class HttpClient::Impl {
  public:
-  explicit Impl(std::size_t max_body_bytes)
-      : max_body_bytes_(max_body_bytes), multi_(curl_multi_init()) {
+  explicit Impl(AnswerLimits limits)
+      : body_memory_{limits}, multi_(curl_multi_init()) {
     curl_multi_setopt(multi_.get(), CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
     thread_ = std::thread([this] { Run(); });
   }
@@ -233,11 +279,10 @@
   Impl& operator=(const Impl&) = delete;
 
   void Start(std::uint64_t id, HttpCall call, OnResult on_result) {
-    auto transfer = std::make_unique<Transfer>();
+    auto transfer = std::make_unique<Transfer>(body_memory_);
     transfer->id = id;
     transfer->call = std::move(call);
     transfer->on_result = std::move(on_result);
-    transfer->max_body_bytes = max_body_bytes_;
     Push(StartCommand{std::move(transfer)});
   }
 
@@ -306,6 +351,12 @@
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+    curl_easy_setopt(easy, CURLOPT_VERBOSE, 1L);
+    curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, &OnTrace);
+    curl_easy_setopt(easy, CURLOPT_DEBUGDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
+    curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, &OnProgress);
+    curl_easy_setopt(easy, CURLOPT_XFERINFODATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnSend);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
@@ -392,7 +443,7 @@
     transfer->on_result(std::move(result));
   }
 
-  std::size_t max_body_bytes_;
+  BodyMemory body_memory_;
   MultiHandle multi_;
   std::mutex mutex_;
   std::deque<Command> commands_;
@@ -402,8 +453,8 @@
   std::thread thread_;
 };
 
-HttpClient::HttpClient(std::size_t max_body_bytes)
-    : impl_(std::make_unique<Impl>(max_body_bytes)) {}
+HttpClient::HttpClient(AnswerLimits limits)
+    : impl_(std::make_unique<Impl>(limits)) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/src/bambootack/net/http_client.h
+++ b/src/bambootack/net/http_client.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -26,6 +27,14 @@
   bool accept_unframed = false;
 };
 
+/// @brief Limits on the memory that answers take. A call that exceeds one ends
+/// as `kInvalid`, and its connection is closed.
+struct AnswerLimits {
+  std::size_t body_bytes = 0;  ///< Body of one answer.
+  /// Bodies of all calls in flight.
+  std::size_t total_body_bytes = std::numeric_limits<std::size_t>::max();
+};
+
 /// @brief How a call ended.
 struct HttpCallResult {
   node::AttemptEnd end = node::AttemptEnd::kLost;
@@ -41,8 +50,11 @@
   using OnResult = std::function<void(HttpCallResult)>;
 
   /// @brief Starts the thread.
-  /// @param max_body_bytes Larger answers end a call as `kInvalid`.
-  explicit HttpClient(std::size_t max_body_bytes);
+  explicit HttpClient(AnswerLimits limits);
+
+  /// @brief Starts the thread, with a limit on each answer only.
+  explicit HttpClient(std::size_t max_body_bytes)
+      : HttpClient(AnswerLimits{max_body_bytes}) {}
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -23,9 +23,11 @@
 namespace bambootack::gateway_daemon {
 namespace {
 
-/// Servers answer with a few kilobytes; the limit protects the memory of the
-/// VM.
-constexpr std::size_t kMaxAnswerBytes = 64UL * 1024 * 1024;
+/// Servers answer with a few kilobytes. A faulty one sends without end, and the
+/// smallest VMs have 112 MB; a growing buffer takes up to three times its
+/// bytes.
+constexpr net::AnswerLimits kAnswerLimits{
+    .body_bytes = 8UL * 1024 * 1024, .total_body_bytes = 24UL * 1024 * 1024};
 constexpr std::size_t kMaxBodyBytes = 64UL * 1024 * 1024;
 
 /// Longer than the up to 12 s for which callers keep idle connections open.
@@ -84,7 +86,7 @@
               settings_.first_start, &GenerateFleetKey),
         timer_(io_context_),
         signals_(io_context_, SIGTERM, SIGINT, SIGHUP),
-        client_(kMaxAnswerBytes),
+        client_(kAnswerLimits),
         operator_server_(
             {.address = settings_.operator_address, .context = &io_context_},
             [this](core::CallerId caller, core::HttpRequest http) {
--- a/test/bambootack/net/faulty_answers_test.cc
+++ b/test/bambootack/net/faulty_answers_test.cc
@@ -1,7 +1,10 @@
+#include <algorithm>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <future>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "bambootack/net/http_client.h"
 #include "bambootack/net/raw_socket.h"
@@ -14,11 +17,15 @@
 
 using node::AttemptEnd;
 
-constexpr std::size_t kLimits = 100'000;
+constexpr net::AnswerLimits kLimits{.body_bytes = 100'000,
+                                    .total_body_bytes = 150'000};
 
 /// Longer than any test takes: no answer below may end by a timeout.
 constexpr core::Duration kLong = std::chrono::seconds(60);
 
+/// What the kernel may take from a server before the client's close reaches it.
+constexpr std::size_t kSocketBufferBytes = 16UL * 1024 * 1024;
+
 const std::string kOk = "HTTP/1.1 200 OK\r\nId: 7\r\nSignature: s\r\n";
 
 /// A call as the gateway makes it.
@@ -38,6 +45,29 @@
   return result->get_future();
 }
 
+struct EndlessCase {
+  std::string name;
+  std::string start;
+  std::string repeated;
+};
+
+const std::vector<EndlessCase> kEndless{
+    {"bytes that are no answer", "", std::string(1000, 'x')},
+    {"bytes that are no answer, in lines", "", "hello\r\n"},
+    {"status line", "HTTP/1.1 200 ", std::string(1000, 'O')},
+    {"field", kOk + "A: ", std::string(1000, 'a')},
+    {"fields", kOk, "A: b\r\n"},
+    {"interim answers", "", "HTTP/1.1 103 Early\r\nA: b\r\n\r\n"},
+    {"body without a length", kOk + "\r\n", std::string(1000, 'b')},
+    {"chunks", kOk + "Transfer-Encoding: chunked\r\n\r\n",
+     "3e8\r\n" + std::string(1000, 'b') + "\r\n"},
+    {"chunk extension", kOk + "Transfer-Encoding: chunked\r\n\r\n1;",
+     std::string(1000, 'e')},
+    {"trailers", kOk + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+    {"body longer than allowed", kOk + "Content-Length: 99999999999\r\n\r\n",
+     std::string(1000, 'b')},
+};
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(faulty_answers)
@@ -58,6 +88,65 @@
   }
 }
 
+// Guards against a server whose bytes fill the memory of the VM, or hold a
+// request until its deadline.
+BOOST_AUTO_TEST_CASE(endless_answers_are_cut_off) {
+  for (const EndlessCase& it : kEndless) {
+    BOOST_TEST_CONTEXT(it.name) {
+      net::HttpClient client(kLimits);
+      std::atomic<std::size_t> written = 0;
+      RawServer server([&](RawServer::Socket& socket, int) {
+        server.ReadRequest(socket);
+        std::string block = it.start;
+        std::error_code ec;
+        while (!ec && written < 2 * kSocketBufferBytes) {
+          while (block.size() < 64'000) {
+            block += it.repeated;
+          }
+          written += asio::write(socket, asio::buffer(block), ec);
+          block.clear();
+        }
+      });
+      const auto result = Start(client, 1, CallOf(server)).get();
+      BOOST_TEST((result.end != AttemptEnd::kAnswered));
+      BOOST_TEST(result.answer.body.size() == 0U);
+      BOOST_TEST(written < kSocketBufferBytes);
+    }
+  }
+}
+
+// Guards against many bodies that are within their limit each and together
+// fill the memory of the VM.
+BOOST_AUTO_TEST_CASE(bodies_in_progress_share_a_limit) {
+  net::HttpClient client(kLimits);
+  std::promise<void> first_sent;
+  std::promise<void> second_done;
+  const std::string body(90'000, 'b');
+  RawServer holding([&](RawServer::Socket& socket, int) {
+    holding.ReadRequest(socket);
+    RawServer::Write(socket, kOk + "Content-Length: 90001\r\n\r\n" + body);
+    first_sent.set_value();
+    second_done.get_future().get();
+    RawServer::Write(socket, "b");
+  });
+  RawServer other([&](RawServer::Socket& socket, int) {
+    other.ReadRequest(socket);
+    RawServer::Write(socket, kOk + "Content-Length: 90000\r\n\r\n" + body);
+  });
+  auto first = Start(client, 1, CallOf(holding));
+  first_sent.get_future().get();
+  AttemptEnd end = AttemptEnd::kAnswered;
+  // The first body may still be in the kernel when the second one arrives.
+  for (std::uint64_t id = 2; id < 100 && end == AttemptEnd::kAnswered; ++id) {
+    end = Start(client, id, CallOf(other)).get().end;
+  }
+  BOOST_TEST((end == AttemptEnd::kInvalid));
+  second_done.set_value();
+  BOOST_TEST((first.get().end == AttemptEnd::kAnswered));
+  BOOST_TEST(
+      (Start(client, 100, CallOf(other)).get().end == AttemptEnd::kAnswered));
+}
+
 // Guards against a refusal that a server writes once more after its answer and
 // that a later request takes for its own.
 BOOST_AUTO_TEST_CASE(a_repeated_refusal_answers_no_later_request) {
