Heed servers that announce their leaving and servers that want a pause

Leaving: a valid answer that says so marks this start of the server as draining in the registry, until its id reports a later start; the dispatcher that chose it and, within the budget for state, all peers are told. What is in flight there ends normally. Pause: the entry excludes the server until its end, in its slot requests and in slots that come all the same, which go back as unused. While all servers of a service are paused, the VM refuses at once, with the shortest pause, spread, as Retry-After if the caller has the time. Malformed values are logged and ignored, long ones end after an hour.

The same fields reach the soak: servers announce their leaving before they report it, or turn requests away with pauses, and the ledger checks both rules.

--- a/src/bambootack/gateway/codec.cc
+++ b/src/bambootack/gateway/codec.cc
@@ -76,6 +76,11 @@
   ar(it.fingerprint, it.server);
 }
 
+template <typename A>
+void serialize(A& ar, LeavingNotice& it) {
+  ar(it.server, it.started);
+}
+
 template <typename A>
 void serialize(A& ar, MemberNotice& it) {
   ar(it.address, it.failure_domain, it.leaving);
--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -4,14 +4,11 @@
 
 #include <algorithm>
 
-#include "bambootack/gateway/refusal.h"
+#include "bambootack/gateway/log_text.h"
 
 namespace bambootack::gateway {
 namespace {
 
-/// Texts of callers are truncated to this many bytes in log lines.
-constexpr std::size_t kMaxLoggedText = 64;
-
 /// Longest wait of a request for the first configuration and servers. The
 /// configuration arrives about 60 ms after a start. A refusal within an eighth
 /// of the latency target costs nothing; targets are 250 ms and more.
@@ -20,10 +17,6 @@
 /// Limit on requests in that wait. A VM receives some tens per second.
 constexpr std::size_t kMaxEarlyRequests = 256;
 
-std::string_view Truncate(std::string_view text) {
-  return text.substr(0, kMaxLoggedText);
-}
-
 }  // namespace
 
 Gateway::Gateway(GatewayOptions options, std::uint64_t seed)
@@ -255,8 +248,8 @@
   Erase(handle);
 }
 
-void Gateway::Refuse(core::Handle handle, core::ErrorKind kind,
-                     core::Time now) {
+void Gateway::Refuse(core::Handle handle, core::ErrorKind kind, core::Time now,
+                     core::Duration wait) {
   const Request& request = *requests_.Find(handle);
   // A status that promises "not executed" holds only if no server may have
   // executed the request.
@@ -273,8 +266,8 @@
                   request.fingerprint));
   metrics_.CountAnswer(core::AnswerOf(kind).name, core::AnswerOf(kind).status);
   metrics_.ObserveLatency(request.route->priority, now - request.arrived);
-  SendAnswer(request.caller,
-             RefusalAnswer(kind, request.deadline - now, !may_have_executed));
+  SendAnswer(request.caller, RefusalAnswer(kind, request.deadline - now,
+                                           !may_have_executed, wait));
   Erase(handle);
 }
 
--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "bambootack/gateway/metrics.h"
 #include "bambootack/gateway/peer_directory.h"
 #include "bambootack/gateway/poison_request_detector.h"
+#include "bambootack/gateway/refusal.h"
 #include "bambootack/gateway/route_table.h"
 #include "bambootack/gateway/server_pool.h"
 #include "bambootack/gateway/server_protocol.h"
@@ -232,6 +233,15 @@
   void Handle(core::VmId from, StateUpdate& message, core::Time now);
   void Handle(core::VmId from, StateQuery& message, core::Time now);
   void Handle(core::VmId from, CrashNotice& message, core::Time now);
+  void Handle(core::VmId from, LeavingNotice& message, core::Time now);
+
+  void ApplyServerNotice(const Request& request, const Attempt& attempt,
+                         const ServerNotice& notice, core::Time now);
+  [[nodiscard]] bool IsPaused(std::string_view server, core::Time now) const;
+  [[nodiscard]] std::optional<core::Duration> ShortestPause(
+      std::string_view service, core::Time now) const;
+  void RefuseForPause(core::Handle handle, core::Duration pause,
+                      core::Time now);
 
   [[nodiscard]] std::optional<core::ErrorKind> ResolveRoute(
       Request& request) const;
@@ -245,7 +255,7 @@
   void ChooseLocally(core::Handle handle, core::Time now);
   void ChooseFromPool(core::Handle handle, bool local,
                       const SlotRequirements& requirements, core::Time now);
-  [[nodiscard]] bool IsUsable(const Slot& slot) const;
+  [[nodiscard]] bool IsUsable(const Slot& slot, core::Time now) const;
   void OnSlotDecision(core::Handle handle, std::optional<Slot> slot,
                       core::VmId granter, core::Time now);
   void StartAttemptInSlot(core::Handle handle, Slot slot, core::VmId granter,
@@ -266,7 +276,8 @@
   [[nodiscard]] bool MayRetry(const Request& request, core::Time now) const;
   void ForwardAnswer(core::Handle handle, core::HttpAnswer answer,
                      core::Time now);
-  void Refuse(core::Handle handle, core::ErrorKind kind, core::Time now);
+  void Refuse(core::Handle handle, core::ErrorKind kind, core::Time now,
+              core::Duration wait = kDefaultRetryWait);
   void SendAnswer(core::CallerId caller, core::HttpAnswer answer);
   void CancelAttemptOf(Request& request, AttemptOutcome outcome,
                        core::Time now);
@@ -292,6 +303,8 @@
   std::unordered_map<std::uint64_t, core::Handle> by_attempt_;
   std::set<std::pair<core::Time, core::Handle>> by_timer_;
   std::map<std::string, core::Time, std::less<>> unreachable_until_;
+  /// Ends of the pauses that servers want from this VM.
+  std::map<std::string, core::Time, std::less<>> paused_until_;
   /// By group, for retries of all entries while this VM is a dispatcher of
   /// rank 0 or 1.
   Budgets fleet_budgets_;
--- a/src/bambootack/gateway/gateway_attempts.cc
+++ b/src/bambootack/gateway/gateway_attempts.cc
@@ -88,6 +88,13 @@
       requirements.excluded.push_back(server);
     }
   }
+  for (const auto& [server, until] : paused_until_) {
+    const auto it = registry_.Servers().find(server);
+    if (now < until && it != registry_.Servers().end() &&
+        it->second.record.service == request.service) {
+      requirements.excluded.push_back(server);
+    }
+  }
   return requirements;
 }
 
@@ -130,6 +137,14 @@
     return;
   }
   Request& request = *requests_.Find(handle);
+  if (const auto pause = ShortestPause(request.service, now)) {
+    if (request.attempt) {
+      UpdateTimer(handle, request);
+    } else {
+      RefuseForPause(handle, *pause, now);
+    }
+    return;
+  }
   ++request.slot_requests;
   SlotRequirements requirements = RequirementsOf(request, now);
   const core::VmId dispatcher = peers_.ChooseDispatcher(
@@ -216,12 +231,13 @@
   return slot;
 }
 
-/// Whether the server of a slot is registered and not draining. The dispatcher
-/// may not know yet that it is draining, or may be cut off from that
-/// information.
-bool Gateway::IsUsable(const Slot& slot) const {
+/// Whether the server of a slot is registered, not draining and wants requests
+/// from this VM. The dispatcher may not know yet that it is draining, or may be
+/// cut off from that information.
+bool Gateway::IsUsable(const Slot& slot, core::Time now) const {
   const auto it = registry_.Servers().find(slot.server);
-  return it != registry_.Servers().end() && !it->second.record.draining;
+  return it != registry_.Servers().end() && !it->second.record.draining &&
+         !IsPaused(slot.server, now);
 }
 
 /// Starts the attempt. Without a slot, a request with an earlier attempt in
@@ -345,6 +361,11 @@
     pool_.RecordAttempt(finished.slot.server, request.route->id,
                         now - finished.started, outcome, now);
   }
+  if (end == node::AttemptEnd::kAnswered &&
+      outcome != AttemptOutcome::kInvalid) {
+    ApplyServerNotice(request, finished,
+                      ReadServerNotice(options_.header_names, answer), now);
+  }
   metrics_.CountAttempt(outcome);
   Log(log::EventId::kSendEnded,
       fmt::format("request={} server={} end={} status={} ms={}", request.id,
@@ -385,6 +406,7 @@
       break;
     case AttemptOutcome::kLost:
     case AttemptOutcome::kCancelled:
+    case AttemptOutcome::kUnused:
       request.last_error = core::ErrorKind::kBackendLost;
       break;
   }
--- a/src/bambootack/gateway/gateway_peers.cc
+++ b/src/bambootack/gateway/gateway_peers.cc
@@ -44,8 +44,8 @@
   if (awaited && !message.knows_servers) {
     peers_.MarkUnresponsive(from, now);
     ChooseLocally(message.key.request, now);
-  } else if (awaited && message.slot && !IsUsable(*message.slot)) {
-    ReleaseSlot(from, message.slot->lease, AttemptOutcome::kCancelled,
+  } else if (awaited && message.slot && !IsUsable(*message.slot, now)) {
+    ReleaseSlot(from, message.slot->lease, AttemptOutcome::kUnused,
                 std::nullopt, now);
     ChooseLocally(message.key.request, now);
   } else if (awaited && message.quarantined && !request->attempt) {
--- a/src/bambootack/gateway/messages.h
+++ b/src/bambootack/gateway/messages.h
@@ -79,10 +79,16 @@
   std::uint64_t config_version = 0;
 };
 
+/// @brief A server has told the sender that it is leaving.
+struct LeavingNotice {
+  std::string server;
+  std::int64_t started = 0;  ///< Start time of the server that is leaving.
+};
+
 /// @brief Any message between gateways.
 using PeerMessage =
     std::variant<SlotRequest, SlotReply, SlotRelease, MemberNotice, StateUpdate,
-                 StateQuery, CrashNotice>;
+                 StateQuery, CrashNotice, LeavingNotice>;
 
 }  // namespace bambootack::gateway
 
--- a/src/bambootack/gateway/metrics.cc
+++ b/src/bambootack/gateway/metrics.cc
@@ -29,6 +29,12 @@
                                  "counter", "Calls to the platform's store."};
 constexpr MetricInfo kPeerBytes{"bambootack_gateway_peer_bytes_total",
                                 "counter", "Bytes of messages to peers."};
+constexpr MetricInfo kLeavingServers{
+    "bambootack_gateway_leaving_servers_total", "counter",
+    "Servers that told this VM that they are leaving."};
+constexpr MetricInfo kServerPauses{"bambootack_gateway_server_pauses_total",
+                                   "counter",
+                                   "Pauses that servers wanted from this VM."};
 constexpr MetricInfo kLatency{"bambootack_gateway_latency_seconds", "histogram",
                               "Time from a request to its answer."};
 constexpr MetricInfo kSlotWait{"bambootack_gateway_slot_wait_seconds",
@@ -51,9 +57,11 @@
                             "1 if this VM takes traffic."};
 
 constexpr std::array kCatalogue{
-    kAnswers,   kAttempts, kHealthChanges, kDispatcherTimeouts, kStoreCalls,
-    kPeerBytes, kLatency,  kSlotWait,      kTimerDelay,         kInFlight,
-    kServers,   kMembers,  kConfigVersion, kStateAge,           kReady};
+    kAnswers,    kAttempts,  kHealthChanges,  kDispatcherTimeouts,
+    kStoreCalls, kPeerBytes, kLeavingServers, kServerPauses,
+    kLatency,    kSlotWait,  kTimerDelay,     kInFlight,
+    kServers,    kMembers,   kConfigVersion,  kStateAge,
+    kReady};
 
 }  // namespace
 
@@ -83,6 +91,8 @@
   metrics::WriteValue(out, kDispatcherTimeouts, dispatcher_timeouts_);
   metrics::WriteValue(out, kStoreCalls, store_calls_);
   metrics::WriteValue(out, kPeerBytes, peer_bytes_);
+  metrics::WriteValue(out, kLeavingServers, leaving_servers_);
+  metrics::WriteValue(out, kServerPauses, server_pauses_);
   metrics::WriteHead(out, kLatency);
   for (const auto& [priority, histogram] : latency_) {
     histogram.Write(out, kLatency.name,
--- a/src/bambootack/gateway/metrics.h
+++ b/src/bambootack/gateway/metrics.h
@@ -49,6 +49,12 @@
   /// @brief Counts a call to the platform's store.
   void CountStoreCall() noexcept { ++store_calls_; }
 
+  /// @brief Counts a server that has told this VM that it is leaving.
+  void CountLeavingServer() noexcept { ++leaving_servers_; }
+
+  /// @brief Counts a pause that a server wants from this VM.
+  void CountServerPause() noexcept { ++server_pauses_; }
+
   /// @brief Counts the encoded size of a message to a peer.
   void CountPeerBytes(std::size_t bytes) noexcept { peer_bytes_ += bytes; }
 
@@ -75,6 +81,8 @@
   std::uint64_t dispatcher_timeouts_ = 0;
   std::uint64_t store_calls_ = 0;
   std::uint64_t peer_bytes_ = 0;
+  std::uint64_t leaving_servers_ = 0;
+  std::uint64_t server_pauses_ = 0;
   std::map<int, metrics::TimeHistogram> latency_;
   metrics::TimeHistogram slot_wait_;
   metrics::TimeHistogram timer_delay_;
--- a/src/bambootack/gateway/model.h
+++ b/src/bambootack/gateway/model.h
@@ -70,12 +70,13 @@
   kInvalid,      ///< No complete, valid answer to this request.
   kTimedOut,     ///< No answer within the time limit.
   kCancelled,    ///< The caller left, or the answer is not needed.
+  kUnused,       ///< The entry could not use the slot's server.
 };
 
 /// @brief Names of the outcomes in logs and metrics.
-inline constexpr core::EnumNames<AttemptOutcome, 9> kAttemptOutcomeNames{
+inline constexpr core::EnumNames<AttemptOutcome, 10> kAttemptOutcomeNames{
     {"served", "server-error", "not-run", "wrong-server", "unreachable", "lost",
-     "invalid", "timed-out", "cancelled"}};
+     "invalid", "timed-out", "cancelled", "unused"}};
 
 }  // namespace bambootack::gateway
 
--- a/src/bambootack/gateway/refusal.cc
+++ b/src/bambootack/gateway/refusal.cc
@@ -9,9 +9,6 @@
 namespace bambootack::gateway {
 namespace {
 
-/// Time in which the queues of normally loaded servers shorten.
-constexpr core::Duration kRetryAfter = std::chrono::milliseconds(200);
-
 /// Callers are told to wait for at most a third of their remaining time.
 constexpr int kRemainingDivisor = 3;
 
@@ -19,14 +16,17 @@
 
 }  // namespace
 
+bool IsUsableWait(core::Duration wait, core::Duration remaining) {
+  return wait <= remaining / kRemainingDivisor;
+}
+
 core::HttpAnswer RefusalAnswer(core::ErrorKind kind, core::Duration remaining,
-                               bool not_executed) {
+                               bool not_executed, core::Duration wait) {
   core::HttpAnswer answer =
       node::ToHttp(not_executed ? node::Refusal(kind) : node::Unproven(kind));
-  const core::Duration wait =
-      remaining.count() > 0
-          ? std::min(kRetryAfter, remaining / kRemainingDivisor)
-          : kRetryAfter;
+  if (remaining.count() > 0) {
+    wait = std::min(wait, remaining / kRemainingDivisor);
+  }
   for (core::HeaderField& it : answer.headers) {
     if (it.name == "Retry-After") {
       it.value = fmt::format(
--- a/src/bambootack/gateway/server_pool.cc
+++ b/src/bambootack/gateway/server_pool.cc
@@ -155,6 +155,7 @@
       state.unreachable_at = now;
       break;
     case AttemptOutcome::kCancelled:
+    case AttemptOutcome::kUnused:
       break;
   }
 }
--- a/src/bambootack/gateway/server_protocol.cc
+++ b/src/bambootack/gateway/server_protocol.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/algorithm/string/predicate.hpp>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace bambootack::gateway {
@@ -13,10 +14,29 @@
 constexpr int kMinRedirect = 300;
 constexpr int kMinServerError = 500;
 constexpr int kMisdirectedRequest = 421;
+constexpr int kServiceUnavailable = 503;
 
 /// Callers wait for seconds; a larger value is a fault of the caller.
 constexpr std::int64_t kMaxRemainingMs = 3'600'000;
 
+/// Longer pauses are limited to this time.
+constexpr double kMaxPauseSeconds = 3600.0;
+
+/// Parses a number of seconds that is not negative. The fields of dates and
+/// other forms are rejected.
+std::optional<core::Duration> ParseSeconds(std::string_view text) {
+  double seconds = 0.0;
+  const char* end = text.data() + text.size();
+  const auto parsed =
+      std::from_chars(text.data(), end, seconds, std::chars_format::fixed);
+  if (parsed.ec != std::errc() || parsed.ptr != end ||
+      !std::isfinite(seconds) || seconds < 0.0) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<core::Duration>(
+      std::chrono::duration<double>(std::min(seconds, kMaxPauseSeconds)));
+}
+
 std::optional<std::int64_t> ParseNumber(std::string_view text) {
   std::int64_t value = 0;
   const char* end = text.data() + text.size();
@@ -107,4 +127,19 @@
   return ServerLoad{static_cast<int>(*executing), static_cast<int>(*queued)};
 }
 
+ServerNotice ReadServerNotice(const HeaderNames& names,
+                              const core::HttpAnswer& answer) {
+  ServerNotice notice;
+  const auto leaving = core::FindHeader(answer.headers, names.leaving);
+  notice.leaving = leaving && *leaving == "1";
+  const auto pause = core::FindHeader(answer.headers, names.retry_after);
+  if (pause && answer.status == kServiceUnavailable) {
+    notice.pause = ParseSeconds(*pause);
+    if (!notice.pause) {
+      notice.malformed_pause = std::string(*pause);
+    }
+  }
+  return notice;
+}
+
 }  // namespace bambootack::gateway
--- a/src/bambootack/gateway/server_protocol.h
+++ b/src/bambootack/gateway/server_protocol.h
@@ -21,6 +21,17 @@
   std::string signature;        ///< Proves that a server made the answer.
   std::string not_executed;     ///< Set if the server did not execute it.
   std::string load;             ///< "executing,queued,slots" of the server.
+  std::string leaving;          ///< "1" if the server is about to terminate.
+  std::string retry_after;      ///< Seconds, with a 503 of a server.
+};
+
+/// @brief What a server states about itself in an answer.
+struct ServerNotice {
+  bool leaving = false;  ///< It wants no new requests and will terminate.
+  /// How long it wants no requests from this VM.
+  std::optional<core::Duration> pause;
+  /// Text of a pause that is ignored because it is no number of seconds.
+  std::optional<std::string> malformed_pause;
 };
 
 /// @brief Reads how long the caller will still wait.
@@ -51,6 +62,11 @@
 [[nodiscard]] std::optional<ServerLoad> ReportedLoad(
     const HeaderNames& names, const core::Headers& headers);
 
+/// @brief Reads what a server states about itself. A pause is read from a 503
+/// only, and limited to an hour.
+[[nodiscard]] ServerNotice ReadServerNotice(const HeaderNames& names,
+                                            const core::HttpAnswer& answer);
+
 /// @brief Whether callers infer from an HTTP status that the request has not
 /// been executed and will not be.
 [[nodiscard]] constexpr bool ImpliesNotExecuted(int status) noexcept {
--- a/src/bambootack/gateway/server_registry.cc
+++ b/src/bambootack/gateway/server_registry.cc
@@ -26,7 +26,11 @@
   if (older) {
     return false;
   }
-  latest = {record.started, record.sequence, offset, false, offset};
+  latest = {record.started, record.sequence, offset,
+            false,          offset,          latest.leaving_start};
+  record.draining =
+      record.draining ||
+      (latest.leaving_start && record.started <= *latest.leaving_start);
   RemovePreviousServersAt(record, offset);
   const auto found = servers_.find(record.id);
   const bool changed = found == servers_.end() ||
@@ -95,6 +99,19 @@
   return servers_.erase(change.record.id) > 0;
 }
 
+bool ServerRegistry::MarkLeaving(std::string_view id, std::int64_t started) {
+  LatestChange& latest = latest_changes_[std::string(id)];
+  if (latest.leaving_start && *latest.leaving_start >= started) {
+    return false;
+  }
+  latest.leaving_start = started;
+  const auto it = servers_.find(id);
+  if (it != servers_.end() && it->second.record.started <= started) {
+    it->second.record.draining = true;
+  }
+  return true;
+}
+
 std::vector<ServerChange> ServerRegistry::ChangesSince(std::uint64_t offset,
                                                        core::Time now) const {
   std::vector<ServerChange> changes;
--- a/src/bambootack/gateway/server_registry.h
+++ b/src/bambootack/gateway/server_registry.h
@@ -54,6 +54,13 @@
   /// warm-up.
   bool ApplyChange(const ServerChange& change, core::Time now);
 
+  /// @brief Records that a start of a server is leaving, as it has told a VM.
+  /// It counts as draining from then on, whatever it reports to the store; a
+  /// later start under the same id does not.
+  /// @param started Start time of the server, as in its reports.
+  /// @return False if this was known.
+  bool MarkLeaving(std::string_view id, std::int64_t started);
+
   /// @brief Latest change of each server that changed at or after an offset.
   [[nodiscard]] std::vector<ServerChange> ChangesSince(std::uint64_t offset,
                                                        core::Time now) const;
@@ -90,6 +97,8 @@
     bool removed = false;
     /// Peers whose state is complete only up to this offset need the change.
     std::uint64_t changed_at_offset = 0;
+    /// Latest start that is known to be leaving.
+    std::optional<std::int64_t> leaving_start;
   };
 
   void RemovePreviousServersAt(const ServerRecord& record,
--- a/src/bambootack/gateway/state_sync.cc
+++ b/src/bambootack/gateway/state_sync.cc
@@ -31,6 +31,7 @@
 constexpr std::size_t kChangeBytes = 80;
 constexpr std::size_t kRouteBytes = 80;
 constexpr std::size_t kServiceBytes = 16;
+constexpr std::size_t kNoticeBytes = 80;  ///< With the seal of its datagram.
 
 /// Approximate size of an update on the wire.
 std::size_t SizeOf(const StateUpdate& update) {
@@ -231,6 +232,18 @@
   outgoing_messages_.emplace_back(from, std::move(update));
 }
 
+void StateSync::AnnounceLeaving(const LeavingNotice& notice,
+                                core::VmId dispatcher, core::Time now) {
+  const auto& peers = peers_.Peers();
+  const std::size_t bytes = kNoticeBytes + notice.server.size();
+  const bool tells_all = send_budget_.TrySpendWhole(peers.size() * bytes, now);
+  for (const auto& [vm, member] : peers) {
+    if (tells_all || vm == dispatcher) {
+      outgoing_messages_.emplace_back(vm, notice);
+    }
+  }
+}
+
 void StateSync::OnTimer(core::Time now, core::Random& random) {
   const bool current = confirmed_at_ && now < StaleAt();
   if ((current && !behind_since_) || now < next_query_at_) {
--- a/src/bambootack/gateway/state_sync.h
+++ b/src/bambootack/gateway/state_sync.h
@@ -87,6 +87,11 @@
   std::vector<ServerChange> Receive(core::VmId from, const StateUpdate& update,
                                     core::Time now);
 
+  /// @brief Tells the peers that a server is leaving: the dispatcher that chose
+  /// it, and all others within the budget.
+  void AnnounceLeaving(const LeavingNotice& notice, core::VmId dispatcher,
+                       core::Time now);
+
   /// @brief Answers a peer's query, or ignores it while this VM has no state or
   /// its budget is spent. The peer then queries another VM.
   void Receive(core::VmId from, const StateQuery& query, core::Time now);
--- a/src/bambootack/log/event.cc
+++ b/src/bambootack/log/event.cc
@@ -109,6 +109,11 @@
     EventInfo{EventId::kStateSent, LogLevel::kInfo, "state-sent",
               "this VM sent configuration or servers to peers",
               LineLimit::kRequest},
+    EventInfo{EventId::kServerLeaving, LogLevel::kInfo, "server-leaving",
+              "a server has told a VM that it is leaving", LineLimit::kRequest},
+    EventInfo{EventId::kServerPaused, LogLevel::kInfo, "server-paused",
+              "a server wants no requests from this VM for some time",
+              LineLimit::kRequest},
 };
 
 }  // namespace
--- a/src/bambootack/log/event.h
+++ b/src/bambootack/log/event.h
@@ -57,6 +57,8 @@
   kRecordsExpired = 715,
   kRoomAwaited = 716,
   kStateSent = 717,
+  kServerLeaving = 718,
+  kServerPaused = 719,
 };
 
 /// @brief How often an event is written; see `LineLimiter`.
--- a/test/bambootack/gateway/codec_test.cc
+++ b/test/bambootack/gateway/codec_test.cc
@@ -55,7 +55,8 @@
           update,
           gateway::StateQuery{4, 12},
           gateway::SlotReply{{{1, 2}, 3}, std::nullopt, true, true},
-          gateway::CrashNotice{42, "a"}};
+          gateway::CrashNotice{42, "a"},
+          gateway::LeavingNotice{"a", 1700}};
 }
 
 }  // namespace
--- a/test/bambootack/gateway/server_protocol_test.cc
+++ b/test/bambootack/gateway/server_protocol_test.cc
@@ -1,6 +1,7 @@
 #include "bambootack/gateway/server_protocol.h"
 
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,8 +12,8 @@
 namespace {
 
 gateway::HeaderNames Names() {
-  return {"Request-Id", "Time-Left-Ms", "Only-Server",
-          "Signature",  "Not-Run",      "Load"};
+  return {"Request-Id", "Time-Left-Ms", "Only-Server", "Signature",
+          "Not-Run",    "Load",         "Leaving",     "Retry-After"};
 }
 
 }  // namespace
@@ -103,6 +104,43 @@
   BOOST_TEST(!core::FindHeader(sent.headers, "X-Hop").has_value());
 }
 
+// Guards against a pause that ends early or never because its text was taken
+// for another number.
+BOOST_AUTO_TEST_CASE(pauses_are_read_from_refusals) {
+  using std::chrono::milliseconds;
+  struct Case {
+    int status;
+    std::string text;
+    std::optional<core::Duration> pause;
+  };
+  const std::vector<Case> cases{
+      {503, "2", milliseconds(2000)},
+      {503, "0.25", milliseconds(250)},
+      {503, "0", milliseconds(0)},
+      {503, "99999999999", std::chrono::hours(1)},
+      {503, "-1", std::nullopt},
+      {503, "nan", std::nullopt},
+      {503, "inf", std::nullopt},
+      {503, "1e3", std::nullopt},
+      {503, "", std::nullopt},
+      {503, "Sat, 05 Dec 2026 00:00:00 GMT", std::nullopt},
+      {429, "2", std::nullopt},
+      {200, "2", std::nullopt},
+  };
+  for (const Case& it : cases) {
+    const gateway::ServerNotice notice = gateway::ReadServerNotice(
+        Names(), {it.status, {{"Retry-After", it.text}}, ""});
+    BOOST_TEST((notice.pause == it.pause), it.status << " " << it.text);
+    BOOST_TEST(
+        notice.malformed_pause.has_value() == (it.status == 503 && !it.pause),
+        it.status << " " << it.text);
+  }
+  BOOST_TEST(gateway::ReadServerNotice(Names(), {200, {{"Leaving", "1"}}, ""})
+                 .leaving);
+  BOOST_TEST(!gateway::ReadServerNotice(Names(), {200, {{"Leaving", "0"}}, ""})
+                  .leaving);
+}
+
 BOOST_AUTO_TEST_CASE(malformed_numbers_are_ignored) {
   for (const std::string text :
        {"", "x", "-1", "1.5", "99999999999999999999"}) {
--- a/test/bambootack/gateway/server_registry_test.cc
+++ b/test/bambootack/gateway/server_registry_test.cc
@@ -113,4 +113,30 @@
   BOOST_TEST(registry.ChangesSince(11, kStart).empty());
 }
 
+// Guards against a store that says "ready" of a server that has told this VM
+// that it is leaving: the report is older, or its entry has expired and is
+// back.
+BOOST_AUTO_TEST_CASE(a_leaving_server_stays_draining_until_a_later_start) {
+  gateway::ServerRegistry registry;
+  registry.Apply(Record("a", 100, 1), 10, kStart);
+  BOOST_TEST(registry.MarkLeaving("a", 100));
+  BOOST_TEST(!registry.MarkLeaving("a", 100));
+  BOOST_TEST(registry.Servers().at("a").record.draining);
+  registry.Apply(Record("a", 100, 2), 11, kStart);
+  BOOST_TEST(registry.Servers().at("a").record.draining);
+  registry.Remove("a", 12, kStart);
+  registry.Apply(Record("a", 100, 3), 13, kStart);
+  BOOST_TEST(registry.Servers().at("a").record.draining);
+  registry.Apply(Record("a", 200, 1), 14, kStart);
+  BOOST_TEST(!registry.Servers().at("a").record.draining);
+}
+
+// Guards against a notice of an earlier start that ends the use of a later one.
+BOOST_AUTO_TEST_CASE(a_notice_of_an_earlier_start_is_ignored) {
+  gateway::ServerRegistry registry;
+  registry.Apply(Record("a", 200, 1), 10, kStart);
+  registry.MarkLeaving("a", 100);
+  BOOST_TEST(!registry.Servers().at("a").record.draining);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/soak/backend.cc
+++ b/test/soak/backend.cc
@@ -33,10 +33,11 @@
 }
 
 Backend::Backend(asio::io_context& io, const std::string& address,
-                 std::uint64_t seed, OnRun on_run)
+                 std::uint64_t seed, OnRun on_run, OnRefused on_refused)
     : io_(io),
       random_(seed),
       on_run_(std::move(on_run)),
+      on_refused_(std::move(on_refused)),
       server_(
           {.address = address, .context = &io},
           [this](CallerId caller, const HttpRequest& http) {
@@ -46,6 +47,7 @@
 
 void Backend::Restart(std::string id) {
   id_ = std::move(id);
+  leaving = false;
   running_.clear();
 }
 
@@ -55,8 +57,16 @@
     Answer(caller, 421, {{"X-Instance-Id", id_}}, "");
     return;
   }
-  if (running_.size() >= kSlots) {
-    Answer(caller, 503, {{Names().not_executed, "1"}}, "");
+  if (pause_seconds > 0.0 || running_.size() >= kSlots) {
+    const auto pause = std::chrono::duration_cast<core::Duration>(
+        std::chrono::duration<double>(pause_seconds));
+    on_refused_(http, pause);
+    core::Headers headers{{Names().not_executed, "1"}};
+    if (pause.count() > 0) {
+      headers.push_back(
+          {Names().retry_after, fmt::format("{:.3f}", pause_seconds)});
+    }
+    Answer(caller, 503, std::move(headers), "");
     return;
   }
   on_run_(http);
@@ -87,6 +97,9 @@
 
 void Backend::Answer(CallerId caller, int status, core::Headers headers,
                      std::string body) {
+  if (leaving) {
+    headers.push_back({Names().leaving, "1"});
+  }
   server_.Answer(caller, {status, std::move(headers), std::move(body)});
 }
 
--- a/test/soak/backend.h
+++ b/test/soak/backend.h
@@ -40,14 +40,19 @@
   using HttpRequest = bambootack::core::HttpRequest;
   /// @brief Called when it begins to run a request.
   using OnRun = std::function<void(const HttpRequest&)>;
+  /// @brief Called when it turns a request away, with the pause that it asks
+  /// for, or zero.
+  using OnRefused =
+      std::function<void(const HttpRequest&, bambootack::core::Duration)>;
 
   /// @brief Starts to listen.
   /// @param io Context of the server.
   /// @param address IP:port
   /// @param seed Seed of its times and errors.
   /// @param on_run Is told of each run.
+  /// @param on_refused Is told of each request that it turns away.
   Backend(asio::io_context& io, const std::string& address, std::uint64_t seed,
-          OnRun on_run);
+          OnRun on_run, OnRefused on_refused);
 
   /// @brief Takes another id, as each start of a server does. Requests that it
   /// runs are forgotten.
@@ -64,6 +69,11 @@
   double errors = 0.0;
   /// @brief Share of requests that run and get no answer.
   double hang = 0.0;
+  /// @brief Seconds of the pause with which it turns all requests away; 0 if it
+  /// takes them.
+  double pause_seconds = 0.0;
+  /// @brief Whether its answers say that it is leaving. Ends with `Restart`.
+  bool leaving = false;
 
  private:
   void Take(CallerId caller, const HttpRequest& http);
@@ -73,6 +83,7 @@
   asio::io_context& io_;
   bambootack::core::Random random_;
   OnRun on_run_;
+  OnRefused on_refused_;
   std::string id_;
   std::map<CallerId, std::unique_ptr<asio::steady_timer>> running_;
   bambootack::net::HttpServer server_;
--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -152,6 +152,13 @@
         "server-crash",
         [](World& it) { it.Crash(AnyServer(it), Between(it, 500, 6000)); }},
     FaultKind{"server-drain", [](World& it) { it.Drain(AnyServer(it)); }},
+    FaultKind{"server-announces",
+              [](World& it) {
+                it.AnnounceLeaving(AnyServer(it), Between(it, 500, 4000));
+              }},
+    FaultKind{
+        "server-pauses",
+        [](World& it) { DisturbWork(it, &Backend::pause_seconds, 0.9, 0.0); }},
     FaultKind{"store-down",
               [](World& it) {
                 DisturbStore(it, {.down = true}, Between(it, 500, 4000));
--- a/test/soak/ledger.cc
+++ b/test/soak/ledger.cc
@@ -25,6 +25,8 @@
 constexpr int kMaxLosses = 3;
 constexpr int kMaxRunsAfterLeaving = 3;
 constexpr int kMaxOverdue = 8;
+constexpr core::Duration kPauseStart = milliseconds(500);
+constexpr int kMaxArrivalsInPause = 2;
 constexpr double kRecoveredShare = 0.25;
 
 bool PromisesNotRun(int status) {
@@ -89,6 +91,17 @@
     Break("UNASKED", fmt::format("request={} was changed", id), now);
   }
   ++it.runs;
+  it.last_server = server;
+  const Pair pair{it.gateway, server};
+  CheckPause(pair, now);
+  const auto announced = announced_.find(pair);
+  if (announced != announced_.end() && it.sent > announced->second + kDrain &&
+      view_.gateways[it.gateway].IsCalm(now, now - announced->second)) {
+    Break("DRAIN",
+          fmt::format("request={} server={} gateway={} after its announcement",
+                      id, server, it.gateway),
+          now);
+  }
   arrivals_[service].push_back({now, it.runs > 1});
   if (it.runs > 1 && !it.repeatable) {
     Break("TWICE", fmt::format("request={} server={}", id, server), now);
@@ -125,6 +138,44 @@
   }
 }
 
+void Ledger::NoteRefused(const core::HttpRequest& http,
+                         const std::string& server, core::Duration pause,
+                         core::Time now) {
+  const auto found = attempts_.find(std::string(
+      core::FindHeader(http.headers, Names().request_id).value_or("")));
+  if (found == attempts_.end()) {
+    return;
+  }
+  const Pair pair{found->second.gateway, server};
+  CheckPause(pair, now);
+  if (pause.count() == 0) {
+    return;
+  }
+  Pause& it = pauses_[pair];
+  if (now >= it.until) {
+    it = {now + kPauseStart, now + pause};
+  }
+}
+
+/// More than two requests between half a second after the answer that asks for
+/// the pause and its end.
+void Ledger::CheckPause(const Pair& pair, core::Time now) {
+  const auto found = pauses_.find(pair);
+  if (found == pauses_.end() || now <= found->second.from ||
+      now >= found->second.until) {
+    return;
+  }
+  Pause& it = found->second;
+  const core::Duration since_answer = now - it.from + kPauseStart;
+  if (view_.gateways[pair.first].IsCalm(now, since_answer) &&
+      ++it.arrivals == kMaxArrivalsInPause + 1) {
+    Break("BUDGET",
+          fmt::format("gateway={} server={} wants a pause", pair.first,
+                      pair.second),
+          now);
+  }
+}
+
 void Ledger::NoteEnd(const std::string& id,
                      const bambootack::net::HttpCallResult& result,
                      core::Time now) {
@@ -133,6 +184,9 @@
   switch (result.end) {
     case bambootack::node::AttemptEnd::kAnswered:
       it.status = result.answer.status;
+      if (core::FindHeader(result.answer.headers, Names().leaving)) {
+        announced_.emplace(Pair{it.gateway, it.last_server}, now);
+      }
       CheckAnswer(id, it, result.answer, now);
       break;
     case bambootack::node::AttemptEnd::kLost:
--- a/test/soak/ledger.h
+++ b/test/soak/ledger.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "bambootack/core/http_message.h"
@@ -70,6 +71,7 @@
   core::Time sent{};
   core::Duration left{};  ///< Time that the caller waits.
   int runs = 0;
+  std::string last_server;  ///< That ran it.
   std::optional<core::Time> ended;
   int status = 0;  ///< Zero while there is no whole answer.
 };
@@ -106,6 +108,13 @@
     leaving_.emplace(server, now);
   }
 
+  /// @brief Notes that a server has started, possibly under an id that it had.
+  /// @param server Its id.
+  void NoteStart(const std::string& server) {
+    std::erase_if(announced_,
+                  [&](const auto& it) { return it.first.second == server; });
+  }
+
   /// @brief Notes a request that a caller sends.
   /// @param id Its id.
   /// @param attempt The request.
@@ -119,6 +128,14 @@
   void NoteRun(const core::HttpRequest& http, const std::string& server,
                const std::string& service, core::Time now);
 
+  /// @brief Notes that a server turns a request away.
+  /// @param http The request as the server got it.
+  /// @param server Id of the server.
+  /// @param pause How long it wants nothing from the gateway, or zero.
+  /// @param now Current time.
+  void NoteRefused(const core::HttpRequest& http, const std::string& server,
+                   core::Duration pause, core::Time now);
+
   /// @brief Notes how a request ended for its caller.
   /// @param id Its id.
   /// @param result The result.
@@ -166,6 +183,17 @@
     bool repeat = false;
   };
 
+  /// A gateway and a server.
+  using Pair = std::pair<std::size_t, std::string>;
+
+  /// A pause that a server wants from a gateway.
+  struct Pause {
+    core::Time from{};
+    core::Time until{};
+    int arrivals = 0;
+  };
+
+  void CheckPause(const Pair& pair, core::Time now);
   [[nodiscard]] static double CountArrivals(
       const std::vector<Arrival>& arrivals, core::Time after, core::Time until,
       bool repeat);
@@ -182,6 +210,9 @@
   const View& view_;
   std::vector<SoakConfig> configs_;  ///< In the order of their versions.
   std::map<std::string, core::Time> leaving_;
+  /// When a gateway first passed on that a server is leaving.
+  std::map<Pair, core::Time> announced_;
+  std::map<Pair, Pause> pauses_;
   std::map<std::string, Attempt> attempts_;
   std::map<std::string, core::Time> left_;
   std::map<std::string, std::vector<Arrival>> arrivals_;  ///< By service.
--- a/test/soak/ledger_test.cc
+++ b/test/soak/ledger_test.cc
@@ -180,6 +180,58 @@
   BOOST_TEST(IsBroken("DENIED"));
 }
 
+BOOST_AUTO_TEST_CASE(a_run_after_an_announced_leaving_is_seen) {
+  Send("a");
+  Run("a");
+  HttpCallResult result;
+  result.end = AttemptEnd::kAnswered;
+  result.answer = {200,
+                   {{soak::Names().signature, soak::SignatureOf("a")},
+                    {soak::Names().leaving, "1"}},
+                   soak::BodyOf("a", "/book/1")};
+  ledger.NoteEnd("a", result, now);
+  now += milliseconds(1900);
+  Send("b");
+  Run("b");
+  BOOST_TEST(ledger.Broken().empty());
+  now += milliseconds(200);
+  Send("c");
+  Run("c");
+  BOOST_TEST(IsBroken("DRAIN"));
+}
+
+BOOST_AUTO_TEST_CASE(a_later_start_of_an_announced_server_may_run) {
+  Send("a");
+  Run("a");
+  HttpCallResult result;
+  result.end = AttemptEnd::kAnswered;
+  result.answer = {500, {{soak::Names().leaving, "1"}}, ""};
+  ledger.NoteEnd("a", result, now);
+  ledger.NoteStart("s1");
+  now += milliseconds(3000);
+  Send("b");
+  Run("b");
+  BOOST_TEST(ledger.Broken().empty());
+}
+
+BOOST_AUTO_TEST_CASE(more_than_two_arrivals_in_a_pause_are_seen) {
+  const auto refuse = [&](const std::string& id, milliseconds pause) {
+    Send(id);
+    ledger.NoteRefused(
+        {"POST", "/book/1", {{soak::Names().request_id, id}}, id}, "s1", pause,
+        now);
+  };
+  refuse("a", milliseconds(2000));
+  refuse("b", milliseconds(2000));
+  now += milliseconds(600);
+  refuse("c", milliseconds(2000));
+  refuse("d", milliseconds(0));
+  BOOST_TEST(ledger.Broken().empty());
+  Send("e");
+  Run("e");
+  BOOST_TEST(IsBroken("BUDGET"));
+}
+
 BOOST_AUTO_TEST_CASE(too_many_repeats_are_seen) {
   for (int i = 0; i < 100; ++i) {
     soak::Attempt attempt;
--- a/test/soak/world.cc
+++ b/test/soak/world.cc
@@ -109,6 +109,10 @@
       [this, number](const bambootack::core::HttpRequest& http) {
         const Server& it = servers[number];
         ledger.NoteRun(http, it.backend->Id(), it.service, Now());
+      },
+      [this, number](const bambootack::core::HttpRequest& http,
+                     core::Duration pause) {
+        ledger.NoteRefused(http, servers[number].backend->Id(), pause, Now());
       });
   server.backend->Restart(NewId());
   server.path = std::make_unique<FaultProxy>(
@@ -243,6 +247,34 @@
   });
 }
 
+void World::AnnounceLeaving(std::size_t number, core::Duration until_report) {
+  Server& server = servers[number];
+  if (!server.up || server.draining || server.backend->leaving) {
+    return;
+  }
+  server.backend->leaving = true;
+  ++active_faults;
+  After(until_report, [this, number, id = server.backend->Id()] {
+    ReportLeaving(number, id);
+    --active_faults;
+  });
+}
+
+/// Drains a server that has announced it, once the store takes its report.
+void World::ReportLeaving(std::size_t number, const std::string& id) {
+  if (servers[number].backend->Id() != id) {
+    return;
+  }
+  Drain(number);
+  if (!servers[number].draining) {
+    ++active_faults;
+    After(milliseconds(200), [this, number, id] {
+      ReportLeaving(number, id);
+      --active_faults;
+    });
+  }
+}
+
 void World::Drain(std::size_t number) {
   Server& server = servers[number];
   if (!server.up || server.draining || !store.TakesWrites()) {
@@ -250,6 +282,7 @@
   }
   ++active_faults;
   server.draining = true;
+  server.backend->leaving = true;
   const std::string id = server.backend->Id();
   WriteEntry(server);
   ledger.NoteLeaving(id, Now());
@@ -274,6 +307,7 @@
 }
 
 void World::ComeBack(Server& server, std::string id) {
+  ledger.NoteStart(id);
   server.backend->Restart(std::move(id));
   server.path->SetDown(false);
   server.up = true;
--- a/test/soak/world.h
+++ b/test/soak/world.h
@@ -93,6 +93,12 @@
   /// @param server Its number.
   void Drain(std::size_t server);
 
+  /// @brief Lets a server say in its answers that it is leaving before it
+  /// reports it to the store and drains.
+  /// @param server Its number.
+  /// @param until_report Time until its report.
+  void AnnounceLeaving(std::size_t server, core::Duration until_report);
+
   /// @brief Writes the entries of all servers that are up.
   void Report();
 
@@ -140,6 +146,7 @@
   void AddServer(std::size_t number);
   void WriteEntry(Server& server);
   void RemoveEntry(const std::string& id);
+  void ReportLeaving(std::size_t number, const std::string& id);
   void ComeBack(Server& server, std::string id);
   [[nodiscard]] std::string NewId();
 
