Test pauses of servers over a fleet of gateways

Twelve gateways in virtual time with slots granted by each other: no request reaches a server during a pause that it asked of the sender.

--- a/test/bambootack/gateway/gateway_notices_test.cc
+++ b/test/bambootack/gateway/gateway_notices_test.cc
@@ -1,9 +1,13 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
+#include <deque>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "bambootack/gateway/gateway_fixture.h"
 
@@ -271,6 +275,90 @@
   BOOST_TEST(std::get<SlotReply>(messages[0].message).slot.has_value());
 }
 
+// Guards against a pause that only the VM of the dispatcher keeps: each VM has
+// been asked by itself, and slots come from dispatchers that were not.
+BOOST_AUTO_TEST_CASE(
+    each_vm_of_a_fleet_keeps_the_pauses_that_it_was_asked_for) {
+  constexpr std::uint32_t kVms = 12;
+  constexpr core::Duration kPause = milliseconds(2000);
+  std::vector<std::unique_ptr<GatewayFixture>> vms;
+  for (std::uint32_t i = 0; i < kVms; ++i) {
+    vms.push_back(std::make_unique<GatewayFixture>(core::VmId{i + 1}));
+    vms.back()->Configure();
+    for (std::uint32_t peer = 1; peer <= kVms; ++peer) {
+      vms.back()->gateway.AddPeer(
+          {core::VmId{peer}, {}, "10.0.1.2:7000", "west"});
+    }
+    static_cast<void>(vms.back()->gateway.TakeActions());
+  }
+  std::map<std::uint32_t, core::Time> asked;
+  int arrivals_in_pause = 0;
+  int served = 0;
+  std::uint64_t caller = 0;
+  // Server s0 asks each VM for a pause at its first request; others serve.
+  std::deque<std::pair<std::uint32_t, GatewayAction>> actions;
+  const auto take = [&](std::uint32_t vm) {
+    for (GatewayAction& it : vms[vm]->gateway.TakeActions()) {
+      actions.emplace_back(vm, std::move(it));
+    }
+  };
+  const auto answer = [&](std::uint32_t vm, const StartAttempt& attempt) {
+    const core::Time now = vms[vm]->now;
+    const std::string id(
+        core::FindHeader(attempt.http.headers, "Request-Id").value_or(""));
+    core::HttpAnswer result{
+        200, {{"Request-Id", id}, {"Signature", "x"}}, "answer"};
+    if (attempt.address == "10.0.0.1:80") {
+      const auto pause = asked.find(vm);
+      const bool in_pause =
+          pause != asked.end() && now < pause->second + kPause;
+      arrivals_in_pause += in_pause ? 1 : 0;
+      asked[vm] = now;
+      result = {503, PauseHeaders(id, "2"), ""};
+    } else {
+      ++served;
+    }
+    vms[vm]->gateway.OnAttemptFinished(attempt.id, AttemptEnd::kAnswered,
+                                       std::move(result), now);
+  };
+  const auto perform_all = [&] {
+    while (!actions.empty()) {
+      auto [vm, action] = std::move(actions.front());
+      actions.pop_front();
+      if (const auto* attempt = std::get_if<StartAttempt>(&action)) {
+        answer(vm, *attempt);
+        take(vm);
+      } else if (auto* message = std::get_if<SendToPeer>(&action)) {
+        const std::uint32_t to = static_cast<std::uint32_t>(message->vm) - 1;
+        vms[to]->gateway.OnMessage(core::VmId{vm + 1},
+                                   std::move(message->message), vms[to]->now);
+        take(to);
+      }
+    }
+  };
+  for (int step = 0; step < 120; ++step) {
+    for (std::uint32_t vm = 0; vm < kVms; ++vm) {
+      ++caller;
+      vms[vm]->gateway.OnRequest(
+          core::CallerId{caller},
+          {"POST",
+           caller % 2 == 0 ? "/read/1" : "/book/1",
+           {{"Host", "a.example"}, {"Request-Id", std::to_string(caller)}},
+           "body"},
+          vms[vm]->now);
+      take(vm);
+      perform_all();
+      vms[vm]->now += milliseconds(30);
+      vms[vm]->gateway.OnTimer(vms[vm]->now);
+      take(vm);
+      perform_all();
+    }
+  }
+  BOOST_TEST(asked.size() > kVms / 2);
+  BOOST_TEST(arrivals_in_pause == 0);
+  BOOST_TEST(served > 1200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bambootack::gateway
