--- a/standin/platform/store.cc
+++ b/standin/platform/store.cc
@@ -1,11 +1,10 @@
 #include "standin/platform/store.h"
 
-#include <sodium.h>
-
 #include <algorithm>
 #include <boost/json.hpp>
 #include <utility>
 
+#include "standin/common/encoding.h"
 #include "standin/common/query.h"
 
 namespace standin {
@@ -18,14 +17,6 @@
 constexpr std::size_t kMaxPageItems = 500;
 constexpr core::Duration kMaxWait = std::chrono::seconds(30);
 
-std::string BigEndian(std::uint64_t value, std::size_t size) {
-  std::string bytes(size, '\0');
-  for (std::size_t i = size; i-- > 0; value >>= 8) {
-    bytes[i] = static_cast<char>(value & 0xFF);
-  }
-  return bytes;
-}
-
 std::uint64_t Number(std::string_view bytes) {
   std::uint64_t value = 0;
   for (const char it : bytes) {
@@ -34,17 +25,6 @@
   return value;
 }
 
-std::string Base64(std::string_view bytes) {
-  std::string out(
-      sodium_base64_ENCODED_LEN(bytes.size(), sodium_base64_VARIANT_ORIGINAL),
-      '\0');
-  sodium_bin2base64(out.data(), out.size(),
-                    reinterpret_cast<const unsigned char*>(bytes.data()),
-                    bytes.size(), sodium_base64_VARIANT_ORIGINAL);
-  out.pop_back();  // The terminating zero.
-  return out;
-}
-
 std::string Keyed(std::string_view key, std::string_view value) {
   std::string record = BigEndian(key.size(), 1);
   record += key;
--- a/test/platform/simulated_fleet.cc
+++ b/test/platform/simulated_fleet.cc
@@ -1,17 +1,19 @@
 #include "platform/simulated_fleet.h"
 
 #include <fmt/format.h>
-#include <sodium.h>
 
 #include <algorithm>
-#include <charconv>
 #include <string_view>
 
 #include "bambootack/gateway/codec.h"
+#include "standin/common/encoding.h"
+#include "standin/common/query.h"
 
 namespace bambootack::platform {
 namespace {
 
+using standin::Base64;
+using standin::BigEndian;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
@@ -20,33 +22,8 @@
 constexpr std::size_t kStoreRequestBytes = 300;
 constexpr std::size_t kFrameOverhead = 60;
 
-std::string BigEndian(std::uint64_t value, std::size_t size) {
-  std::string bytes(size, '\0');
-  for (std::size_t i = size; i-- > 0; value >>= 8) {
-    bytes[i] = static_cast<char>(value & 0xFF);
-  }
-  return bytes;
-}
-
-std::string Base64(std::string_view bytes) {
-  std::string out(
-      sodium_base64_ENCODED_LEN(bytes.size(), sodium_base64_VARIANT_ORIGINAL),
-      '\0');
-  sodium_bin2base64(out.data(), out.size(),
-                    reinterpret_cast<const unsigned char*>(bytes.data()),
-                    bytes.size(), sodium_base64_VARIANT_ORIGINAL);
-  out.pop_back();  // The terminating zero.
-  return out;
-}
-
-std::uint64_t QueryNumber(std::string_view target, std::string_view name) {
-  const std::size_t at = target.find(name);
-  std::uint64_t value = 0;
-  if (at != std::string_view::npos) {
-    std::from_chars(target.data() + at + name.size(),
-                    target.data() + target.size(), value);
-  }
-  return value;
+std::uint64_t QueryNumber(const std::string& target, const std::string& name) {
+  return standin::QueryInteger(target, name).value_or(0);
 }
 
 core::VmId IdOf(std::size_t vm) {
@@ -173,7 +150,7 @@
          return;
        }
        const core::Time hold_until =
-           now_ + milliseconds(QueryNumber(target, "waitMs="));
+           now_ + milliseconds(QueryNumber(target, "waitMs"));
        AnswerFromStore(target, hold_until, [this, vm, finish](Answer answer) {
          if (vms_[vm].connected) {
            finish(answer);
@@ -190,7 +167,7 @@
   const Topic& topic =
       topics_[target.find("keyed.op") != std::string::npos ? "keyed.op"
                                                            : "keyed.servers"];
-  const std::uint64_t from = QueryNumber(target, "from=");
+  const std::uint64_t from = QueryNumber(target, "from");
   const bool is_read = target.find("log-read") != std::string::npos;
   const bool holds = is_read && from >= topic.records.size();
   if (store_available_ && holds && now_ < hold_until) {
