--- a/test/platform/simulated_fleet.h
+++ b/test/platform/simulated_fleet.h
@@ -33,8 +33,6 @@
  public:
   explicit SimulatedFleet(FleetShape shape);
 
-  [[nodiscard]] core::Time Now() const noexcept { return now_; }
-
   /// @brief Processes all events of a period.
   void RunFor(core::Duration time);
 
@@ -50,7 +48,7 @@
   }
 
   /// @brief Separates a VM from all others and from the store, or reconnects
-  /// it. Messages on the way are lost.
+  /// it. Messages that arrive meanwhile are lost.
   void SetConnected(std::size_t vm, bool connected);
 
   /// @brief Replaces the process on a VM by a new one.
@@ -63,7 +61,7 @@
   [[nodiscard]] std::vector<std::size_t> VmsWithoutVersion(
       std::uint64_t version) const;
 
-  /// @brief VM that reads the store for the domain in the view of a VM.
+  /// @brief Whether a VM takes itself for the store reader of the domain.
   [[nodiscard]] bool IsStoreReader(std::size_t vm) const;
 
   /// @brief Longest time that a message waited for the link of its VM since the
@@ -79,7 +77,7 @@
     core::Time link_free_at{};
     core::Time timer{};
     bool connected = true;
-    /// Counts starts and reconnections; messages of an earlier epoch are lost.
+    /// Counts starts; what was sent to an earlier one is lost.
     std::uint64_t epoch = 0;
   };
 
