Divide the retry burst of the fleet into whole parts, and let traffic earn retries

Cause: each group of servers held a part of the fleet's burst as the capacity of its token bucket. With 18 groups of one service and a burst of 80, that part is 0.89, and a bucket that holds less than one retry is never spent. Change: RetryAllowance keeps the credit of first attempts for a tenth of the retry window beside the burst, and PartOfBurst gives whole parts whose sum is at most the burst. dispatch::RetryBudget loses the overload that only the gateway used. Ruled out: parts rounded up (their sum exceeds the burst at 8,400 VMs); a sliding window of the whole retry window for each part (a burst of traffic that straddles two windows exceeds the limit by a fifth). Test that failed first: reads_are_repeated_however_many_groups_a_service_has, 600 servers, 400 reads whose first attempt is lost: 0 repeated before.

--- a/src/bambootack/dispatch/retry_budget.cc
+++ b/src/bambootack/dispatch/retry_budget.cc
@@ -6,14 +6,8 @@
 
 void RetryBudget::Configure(double ratio) noexcept { ratio_ = ratio; }
 
-void RetryBudget::Configure(double ratio, double burst) noexcept {
-  ratio_ = ratio;
-  burst_ = burst;
-  tokens_ = burst;
-}
-
 void RetryBudget::RecordFirstAttempt() noexcept {
-  tokens_ = std::min(burst_, tokens_ + ratio_);
+  tokens_ = std::min(kBurst, tokens_ + ratio_);
 }
 
 bool RetryBudget::TrySpend() noexcept {
--- a/src/bambootack/dispatch/retry_budget.h
+++ b/src/bambootack/dispatch/retry_budget.h
@@ -17,11 +17,6 @@
   /// @param ratio Retries allowed for each first attempt; 0 allows none.
   void Configure(double ratio) noexcept;
 
-  /// @brief Sets the ratio and the capacity, and fills the budget.
-  /// @param ratio Retries allowed for each first attempt; 0 allows none.
-  /// @param burst Capacity: retries allowed at once without first attempts.
-  void Configure(double ratio, double burst) noexcept;
-
   void RecordFirstAttempt() noexcept;
 
   /// @brief Takes one retry or hedged read from the budget.
@@ -29,10 +24,11 @@
   [[nodiscard]] bool TrySpend() noexcept;
 
  private:
-  double ratio_ = 0.0;
   /// Capacity in retries. Limits the retries after a period with few failures,
   /// which would otherwise accumulate to a large burst.
-  double burst_ = 10.0;
+  static constexpr double kBurst = 10.0;
+
+  double ratio_ = 0.0;
   double tokens_ = 1.0;
 };
 
--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -17,12 +17,12 @@
 #include "bambootack/core/error_kind.h"
 #include "bambootack/core/random.h"
 #include "bambootack/core/table.h"
-#include "bambootack/dispatch/retry_budget.h"
 #include "bambootack/gateway/messages.h"
 #include "bambootack/gateway/metrics.h"
 #include "bambootack/gateway/peer_directory.h"
 #include "bambootack/gateway/poison_request_detector.h"
 #include "bambootack/gateway/refusal.h"
+#include "bambootack/gateway/retry_allowance.h"
 #include "bambootack/gateway/route_table.h"
 #include "bambootack/gateway/server_pool.h"
 #include "bambootack/gateway/server_protocol.h"
@@ -42,6 +42,7 @@
   HeaderNames header_names;
   double retry_ratio = 0.1;  ///< Retries per first attempt.
   double retry_burst = 1.0;  ///< Retries of the whole fleet beyond the ratio.
+  core::Duration retry_window = std::chrono::seconds(10);
 };
 
 /// @brief Action: transmits a request once to a backend server.
@@ -266,9 +267,9 @@
                    AttemptOutcome outcome,
                    const std::optional<ServerLoad>& load, core::Time now);
   void RetryOrRefuse(core::Handle handle, core::Time now);
-  using Budgets = std::map<std::string, dispatch::RetryBudget, std::less<>>;
+  using Allowances = std::map<std::string, RetryAllowance, std::less<>>;
 
-  [[nodiscard]] dispatch::RetryBudget& RetryBudgetFor(
+  [[nodiscard]] RetryAllowance& RetryAllowanceFor(
       bool local, const SlotRequirements& requirements);
   [[nodiscard]] std::optional<Slot> AcquireSlot(
       core::VmId holder, bool local, bool retry,
@@ -307,9 +308,9 @@
   std::map<std::string, core::Time, std::less<>> paused_until_;
   /// By group, for retries of all entries while this VM is a dispatcher of
   /// rank 0 or 1.
-  Budgets fleet_budgets_;
+  Allowances fleet_allowances_;
   /// By service, for local choices and as dispatcher of a later rank.
-  Budgets local_budgets_;
+  Allowances local_allowances_;
   GatewayMetrics metrics_;
   std::vector<GatewayAction> actions_;
   std::uint64_t last_attempt_ = 0;
--- a/src/bambootack/gateway/gateway_attempts.cc
+++ b/src/bambootack/gateway/gateway_attempts.cc
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 
 #include "bambootack/gateway/gateway.h"
 
@@ -42,10 +43,15 @@
 /// retries of other entries. `kLocalBurst` is divided among all VMs, for local
 /// choices and for dispatchers of later ranks. The sum therefore stays within
 /// the burst, whichever VMs can reach each other.
-constexpr double kFirstRankBurst = 0.2;
-constexpr double kSecondRankBurst = 0.06;
+constexpr std::size_t kRanksWithFleetBurst = 2;
+constexpr std::array<double, kRanksWithFleetBurst> kRankBurst{0.2, 0.06};
 constexpr double kLocalBurst = 0.72;
 
+/// The credit of a first attempt can be spent for the retry window divided by
+/// this. Credit from before a window adds to the retries that the window
+/// allows, and `kUsedRetryRatio` leaves a tenth for that.
+constexpr int kCreditLifetimeDivisor = 10;
+
 /// Groups of servers tried for a slot before a request is refused.
 constexpr std::uint32_t kMaxGroupsTried = 3;
 
@@ -188,29 +194,30 @@
       options_.vm, now);
 }
 
-dispatch::RetryBudget& Gateway::RetryBudgetFor(
+RetryAllowance& Gateway::RetryAllowanceFor(
     bool local, const SlotRequirements& requirements) {
-  const std::string key = GroupName(requirements.service, requirements.group);
-  const std::size_t rank = peers_.RankOfSelf(key);
-  const bool is_fleet_budget = !local && rank <= 1;
-  const auto [it, created] =
-      is_fleet_budget ? fleet_budgets_.try_emplace(key)
-                      : local_budgets_.try_emplace(requirements.service);
-  if (created) {
-    const double fraction =
-        is_fleet_budget
-            ? (rank == 0 ? kFirstRankBurst : kSecondRankBurst) /
-                  static_cast<double>(pool_.GroupCountOf(requirements.service))
-            : kLocalBurst / static_cast<double>(peers_.FleetSize());
-    it->second.Configure(options_.retry_ratio * kUsedRetryRatio,
-                         options_.retry_burst * fraction);
-  }
-  return it->second;
+  const std::string group = GroupName(requirements.service, requirements.group);
+  const std::size_t rank =
+      local ? kRanksWithFleetBurst : peers_.RankOfSelf(group);
+  const bool is_fleet_wide = rank < kRanksWithFleetBurst;
+  const double burst =
+      is_fleet_wide
+          ? PartOfBurst(options_.retry_burst * kRankBurst.at(rank),
+                        pool_.GroupCountOf(requirements.service),
+                        requirements.group)
+          : PartOfBurst(options_.retry_burst * kLocalBurst, peers_.FleetSize(),
+                        peers_.RankOfSelf(requirements.service));
+  RetryAllowance& result = is_fleet_wide
+                               ? fleet_allowances_[group]
+                               : local_allowances_[requirements.service];
+  result.Configure(options_.retry_ratio * kUsedRetryRatio, burst,
+                   options_.retry_window / kCreditLifetimeDivisor);
+  return result;
 }
 
-/// Acquires a slot for an attempt and records the attempt in the retry budget.
-/// A retry consumes budget. Until the VM knows the fleet it cannot tell
-/// its fraction of the budget and grants no retries.
+/// Acquires a slot for an attempt and records the attempt in the retry
+/// allowance. A retry consumes allowance. Until the VM knows the fleet it
+/// cannot tell its part of the burst and grants no retries.
 std::optional<Slot> Gateway::AcquireSlot(core::VmId holder, bool local,
                                          bool retry,
                                          const SlotRequirements& requirements,
@@ -221,10 +228,10 @@
     return std::nullopt;
   }
   if (fleet_known && !retry && !requirements.waited_for_slot) {
-    RetryBudgetFor(local, requirements).RecordFirstAttempt();
+    RetryAllowanceFor(local, requirements).RecordFirstAttempt(now);
   }
   std::optional<Slot> slot = pool_.Acquire(requirements, holder, now, random_);
-  if (slot && retry && !RetryBudgetFor(local, requirements).TrySpend()) {
+  if (slot && retry && !RetryAllowanceFor(local, requirements).TrySpend(now)) {
     pool_.Release(slot->lease, AttemptOutcome::kCancelled, std::nullopt, now);
     return std::nullopt;
   }
--- a/test/bambootack/gateway/gateway_test.cc
+++ b/test/bambootack/gateway/gateway_test.cc
@@ -452,6 +452,28 @@
   BOOST_TEST(retries <= allowed);
 }
 
+// Guards against a service with so many groups of servers that the part of each
+// in the retry budget is below one, and no read is ever repeated.
+BOOST_AUTO_TEST_CASE(reads_are_repeated_however_many_groups_a_service_has) {
+  for (int i = 4; i < 600; ++i) {
+    AddServer(i);
+  }
+  Configure();
+  int retries = 0;
+  for (std::uint64_t caller = 1; caller <= 400; ++caller) {
+    SendRequest(caller, "/read/1");
+    BOOST_TEST_REQUIRE(attempts.size() == 1U);
+    FinishAttempt(attempts[0].id, AttemptEnd::kLost);
+    retries += static_cast<int>(attempts.size());
+    if (!attempts.empty()) {
+      ServeAttempt(attempts[0].id, std::to_string(caller));
+    }
+    Advance(milliseconds(2));
+  }
+  BOOST_TEST(retries > 400 * 0.15);
+  BOOST_TEST(retries <= 400 * 0.2 + 80);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 /// Routes for urgent payouts and delay-tolerant reads, and four servers with
