Read the platform's limits in the form in which it fills them in

Cause: the template fills in the limits as a JSON object; the parser expected name=value entries, found none and kept the defaults without a word.

--- a/src/bambootack/log/event.cc
+++ b/src/bambootack/log/event.cc
@@ -21,6 +21,12 @@
               "the planned stop is complete, nothing was cut"},
     EventInfo{EventId::kStopCut, LogLevel::kError, "stop-cut",
               "the stop ended with requests in flight"},
+    EventInfo{EventId::kLimitsInForce, LogLevel::kInfo, "limits-in-force",
+              "limits of the platform that this process applies"},
+    EventInfo{EventId::kLimitNotApplied, LogLevel::kWarning,
+              "limit-not-applied",
+              "a limit that the platform states is missing, unreadable or "
+              "unknown"},
     EventInfo{EventId::kTicketApplied, LogLevel::kInfo, "ticket-applied",
               "a change ticket is in force"},
     EventInfo{EventId::kTicketRefused, LogLevel::kWarning, "ticket-refused",
--- a/src/bambootack/log/event.h
+++ b/src/bambootack/log/event.h
@@ -19,6 +19,8 @@
   kStopping = 102,
   kStopped = 103,
   kStopCut = 104,
+  kLimitsInForce = 105,
+  kLimitNotApplied = 106,
   kTicketApplied = 200,
   kTicketRefused = 201,
   kLogUnavailable = 202,
--- a/src/daemon/command_line.h
+++ b/src/daemon/command_line.h
@@ -49,10 +49,12 @@
 /// @param program Name of the program.
 /// @param parse Reads settings from text and the name of its file.
 /// @param run Runs the daemon with its settings; returns the exit code.
+/// @param check Checks settings beyond their syntax for `--check` and prints
+/// what it finds; returns the exit code.
 /// @return Exit code of the process.
-template <typename Parse, typename Run>
+template <typename Parse, typename Run, typename Check>
 int RunDaemon(int argc, char** argv, std::string_view program, Parse parse,
-              Run run) {
+              Run run, Check check) {
   namespace leaf = boost::leaf;
   IgnoreReload();
   const CommandLine line = ReadCommandLine(argc, argv, program);
@@ -67,8 +69,11 @@
       [&]() -> leaf::result<int> {
         BOOST_LEAF_AUTO(settings, parse(*text, line.settings));
         if (line.check) {
-          fmt::print("{}: ok\n", line.settings);
-          return kExitOk;
+          const int code = check(settings);
+          if (code == kExitOk) {
+            fmt::print("{}: ok\n", line.settings);
+          }
+          return code;
         }
         try {
           return run(std::move(settings));
@@ -84,6 +89,14 @@
       [] { return kExitUsage; });
 }
 
+/// @brief Runs a daemon whose settings need no check beyond their syntax.
+template <typename Parse, typename Run>
+int RunDaemon(int argc, char** argv, std::string_view program, Parse parse,
+              Run run) {
+  return RunDaemon(argc, argv, program, parse, run,
+                   [](const auto& /*settings*/) { return kExitOk; });
+}
+
 }  // namespace bambootack::daemon
 
 #endif  // DAEMON_COMMAND_LINE_H_
--- a/src/gateway/identity.cc
+++ b/src/gateway/identity.cc
@@ -8,7 +8,6 @@
 #include <stdexcept>
 
 #include "bambootack/net/address.h"
-#include "platform/fleet_limits.h"
 #include "platform/headers.h"
 
 namespace bambootack::gateway_daemon {
@@ -32,9 +31,8 @@
 }
 
 gateway::GatewayOptions MakeGatewayOptions(
-    const gateway::GatewaySettings& settings) {
-  const platform::FleetLimits limits =
-      platform::ParseFleetLimits(settings.platform_bounds);
+    const gateway::GatewaySettings& settings,
+    const platform::FleetLimits& limits) {
   gateway::GatewayOptions options;
   options.vm = VmIdOf(settings.peer_address);
   options.peer_address = settings.peer_address;
@@ -42,6 +40,7 @@
   options.header_names = platform::MakeHeaderNames();
   options.retry_ratio = limits.retry_ratio;
   options.retry_burst = limits.retry_burst;
+  options.retry_window = limits.retry_window;
   return options;
 }
 
--- a/src/gateway/identity.h
+++ b/src/gateway/identity.h
@@ -6,6 +6,7 @@
 #include "bambootack/core/ids.h"
 #include "bambootack/gateway/gateway.h"
 #include "bambootack/gateway/settings.h"
+#include "platform/fleet_limits.h"
 
 namespace bambootack::gateway_daemon {
 
@@ -19,9 +20,11 @@
 /// @throw std::runtime_error if libsodium cannot be initialized.
 [[nodiscard]] std::string GenerateFleetKey();
 
-/// @brief Derives the options of the gateway from the settings of its daemon.
+/// @brief Derives the options of the gateway from the settings of its daemon
+/// and the limits of the platform.
 [[nodiscard]] gateway::GatewayOptions MakeGatewayOptions(
-    const gateway::GatewaySettings& settings);
+    const gateway::GatewaySettings& settings,
+    const platform::FleetLimits& limits);
 
 }  // namespace bambootack::gateway_daemon
 
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -1,14 +1,41 @@
+#include <fmt/format.h>
+
+#include <algorithm>
 #include <utility>
 
 #include "bambootack/gateway/settings.h"
 #include "daemon/command_line.h"
 #include "gateway/shell.h"
+#include "platform/fleet_limits.h"
+
+namespace {
+
+using bambootack::gateway::GatewaySettings;
+namespace daemon = bambootack::daemon;
+namespace platform = bambootack::platform;
+
+/// Prints the limits in force and those that are not applied. Names that this
+/// version does not know are no error: the platform may add some.
+int CheckLimits(const GatewaySettings& settings) {
+  const auto parsed = platform::ParseFleetLimits(settings.platform_bounds);
+  fmt::print("{}\n", Describe(parsed.limits));
+  for (const platform::LimitNotice& it : parsed.notices) {
+    fmt::print(stderr, "{}\n", Describe(it));
+  }
+  const bool applied = std::all_of(
+      parsed.notices.begin(), parsed.notices.end(), [](const auto& it) {
+        return it.problem == platform::LimitProblem::kUnknown;
+      });
+  return applied ? daemon::kExitOk : daemon::kExitFailure;
+}
+
+}  // namespace
 
 int main(int argc, char** argv) {
-  using bambootack::gateway::GatewaySettings;
-  return bambootack::daemon::RunDaemon(
+  return daemon::RunDaemon(
       argc, argv, "bambootack-gateway", &bambootack::gateway::ParseSettings,
       [](GatewaySettings settings) {
         return bambootack::gateway_daemon::Shell(std::move(settings)).Run();
-      });
+      },
+      &CheckLimits);
 }
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -18,6 +18,7 @@
 #include "gateway/log_writer.h"
 #include "gateway/peer_messenger.h"
 #include "platform/fleet_joiner.h"
+#include "platform/fleet_limits.h"
 #include "platform/store_client.h"
 
 namespace bambootack::gateway_daemon {
@@ -75,9 +76,11 @@
  public:
   explicit Impl(gateway::GatewaySettings settings)
       : settings_(std::move(settings)),
+        limits_(platform::ParseFleetLimits(settings_.platform_bounds)),
         random_(std::random_device{}()),
         log_(settings_.log_level, settings_.name),
-        gateway_(MakeGatewayOptions(settings_), std::random_device{}()),
+        gateway_(MakeGatewayOptions(settings_, limits_.limits),
+                 std::random_device{}()),
         store_(gateway_,
                [this](log::EventId id, std::string detail) {
                  log_.Add({id, std::move(detail)}, Now());
@@ -124,6 +127,7 @@
                           settings_.caller_address, settings_.operator_address,
                           settings_.peer_address, settings_.store_address)},
              Now());
+    LogLimits();
     StartJoin();
     WaitForSignal();
     ProcessEvents();
@@ -133,6 +137,13 @@
   }
 
  private:
+  void LogLimits() {
+    log_.Add({log::EventId::kLimitsInForce, Describe(limits_.limits)}, Now());
+    for (const platform::LimitNotice& it : limits_.notices) {
+      log_.Add({log::EventId::kLimitNotApplied, Describe(it)}, Now());
+    }
+  }
+
   void WaitForSignal() {
     signals_.async_wait([this](std::error_code ec, int signal) {
       if (ec) {
@@ -369,6 +380,7 @@
   }
 
   gateway::GatewaySettings settings_;
+  platform::ParsedFleetLimits limits_;
   core::Random random_;
   asio::io_context io_context_;
   LogWriter log_;
