Derive the course of a planned stop from the grace and from each request

The limit, 5.8 s, was a default that did not follow graceS, and answers that were handed over at the exit were never written: Flush blocked the thread that writes them. Change: PlanShutdown derives all times from the grace; late requests are accepted if their deadline lies before the end; what is left at 15/16 of the grace is answered, 504 or an honest 503; no attempt starts that cannot end; the process exits after the requests that were read before and after all answers are written. In the settings stop_grace_ms has no effect any more.

--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -58,9 +58,6 @@
 }
 
 std::optional<core::ErrorKind> Gateway::ResolveRoute(Request& request) const {
-  if (refuse_new_requests_) {
-    return core::ErrorKind::kShuttingDown;
-  }
   if (routes_->Version() == 0) {
     return core::ErrorKind::kNotReady;
   }
@@ -91,7 +88,7 @@
 
 void Gateway::OnRequest(core::CallerId caller, core::HttpRequest http,
                         core::Time now) {
-  if (!HasRoutesAndServers() && !refuse_new_requests_ &&
+  if (!HasRoutesAndServers() && !shutdown_ &&
       early_requests_.size() < kMaxEarlyRequests) {
     early_requests_.push_back({caller, std::move(http), now});
     return;
@@ -155,6 +152,10 @@
     Refuse(handle, core::ErrorKind::kOverloaded, now);
     return;
   }
+  if (shutdown_ && !shutdown_->Accepts(deadline, now)) {
+    Refuse(handle, core::ErrorKind::kShuttingDown, now);
+    return;
+  }
   RequestSlot(handle, now);
 }
 
@@ -174,8 +175,34 @@
   Erase(handle);
 }
 
+/// Answers requests whose servers have not answered by the end of a shutdown.
+/// An answer of unknown outcome tells the caller more than a closed connection.
+void Gateway::AnswerRemainingRequests(core::Time now) {
+  while (!by_timer_.empty()) {
+    const core::Handle handle = by_timer_.begin()->second;
+    Request& request = *requests_.Find(handle);
+    const bool may_have_executed = request.possible_executions > 0;
+    CancelAttemptOf(request, AttemptOutcome::kCancelled, now);
+    Refuse(handle,
+           may_have_executed ? core::ErrorKind::kBackendTimeout
+                             : core::ErrorKind::kShuttingDown,
+           now);
+  }
+}
+
+/// Whether an attempt that starts now is expected to end before the answers of
+/// a shutdown are due. Otherwise "not executed" is a better answer.
+bool Gateway::EndsBeforeExit(const Request& request, core::Time now) const {
+  return !shutdown_ || now + pool_.AverageResponseTime(request.route->id)
+                                   .value_or(request.route->latency_target) <=
+                           shutdown_->answer_by;
+}
+
 void Gateway::OnTimer(core::Time now) {
   AdmitEarlyRequests(now);
+  if (shutdown_ && shutdown_->answer_by <= now) {
+    AnswerRemainingRequests(now);
+  }
   while (!by_timer_.empty() && by_timer_.begin()->first <= now) {
     const core::Handle handle = by_timer_.begin()->second;
     Request& request = *requests_.Find(handle);
@@ -227,8 +254,11 @@
   if (!early_requests_.empty()) {
     next = std::min(*next, early_requests_.front().arrived + kMaxEarlyWait);
   }
-  if (!by_timer_.empty() && (!next || by_timer_.begin()->first < *next)) {
-    next = by_timer_.begin()->first;
+  if (!by_timer_.empty()) {
+    next = std::min(*next, by_timer_.begin()->first);
+    if (shutdown_) {
+      next = std::min(*next, shutdown_->answer_by);
+    }
   }
   return next;
 }
@@ -272,7 +302,7 @@
 }
 
 void Gateway::SendAnswer(core::CallerId caller, core::HttpAnswer answer) {
-  if (shutting_down_) {
+  if (shutdown_) {
     // On a connection that stays open, a request could arrive after the exit.
     answer.headers.push_back({"Connection", "close"});
   }
--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "bambootack/core/error_kind.h"
 #include "bambootack/core/random.h"
 #include "bambootack/core/table.h"
+#include "bambootack/gateway/graceful_shutdown.h"
 #include "bambootack/gateway/messages.h"
 #include "bambootack/gateway/metrics.h"
 #include "bambootack/gateway/peer_directory.h"
@@ -129,18 +130,14 @@
 
   /// @brief Begins a graceful shutdown: announces to the peers that this VM is
   /// leaving, and sends answers with `Connection: close` so that callers
-  /// reconnect.
-  void BeginShutdown();
-
-  /// @brief Refuses all further requests. Callers may keep sending on open
-  /// connections and would otherwise have requests in flight when the process
-  /// exits.
-  void RefuseNewRequests() noexcept { refuse_new_requests_ = true; }
+  /// reconnect. Callers may keep sending on open connections; requests that
+  /// cannot end in time are refused.
+  void BeginShutdown(const ShutdownSchedule& schedule);
 
   /// @brief Whether the VM should receive new connections: it has routes and
   /// servers and is not shutting down.
   [[nodiscard]] bool IsReady() const noexcept {
-    return !shutting_down_ && HasRoutesAndServers();
+    return !shutdown_ && HasRoutesAndServers();
   }
 
   /// @brief Adds a member of the fleet or updates its address, and announces
@@ -226,6 +223,9 @@
   void Admit(core::CallerId caller, core::HttpRequest http, core::Time arrived,
              core::Time now);
   void AdmitEarlyRequests(core::Time now);
+  void AnswerRemainingRequests(core::Time now);
+  [[nodiscard]] bool EndsBeforeExit(const Request& request,
+                                    core::Time now) const;
 
   void Handle(core::VmId from, SlotRequest& message, core::Time now);
   void Handle(core::VmId from, SlotReply& message, core::Time now);
@@ -314,8 +314,7 @@
   GatewayMetrics metrics_;
   std::vector<GatewayAction> actions_;
   std::uint64_t last_attempt_ = 0;
-  bool shutting_down_ = false;
-  bool refuse_new_requests_ = false;
+  std::optional<ShutdownSchedule> shutdown_;  ///< Set once it has begun.
 };
 
 }  // namespace bambootack::gateway
--- a/src/bambootack/gateway/gateway_attempts.cc
+++ b/src/bambootack/gateway/gateway_attempts.cc
@@ -143,6 +143,17 @@
     return;
   }
   Request& request = *requests_.Find(handle);
+  if (!EndsBeforeExit(request, now)) {
+    if (request.attempt) {
+      UpdateTimer(handle, request);
+    } else {
+      Refuse(handle,
+             request.possible_executions > 0 ? request.last_error
+                                             : core::ErrorKind::kShuttingDown,
+             now);
+    }
+    return;
+  }
   if (const auto pause = ShortestPause(request.service, now)) {
     if (request.attempt) {
       UpdateTimer(handle, request);
--- a/src/bambootack/gateway/gateway_peers.cc
+++ b/src/bambootack/gateway/gateway_peers.cc
@@ -86,8 +86,8 @@
   }
 }
 
-void Gateway::BeginShutdown() {
-  shutting_down_ = true;
+void Gateway::BeginShutdown(const ShutdownSchedule& schedule) {
+  shutdown_ = schedule;
   for (const auto& [vm, member] : peers_.Peers()) {
     actions_.emplace_back(SendToPeer{
         vm,
--- a/src/bambootack/gateway/settings.cc
+++ b/src/bambootack/gateway/settings.cc
@@ -12,6 +12,7 @@
 using toml_reader::Address;
 using toml_reader::Reader;
 
+constexpr std::int64_t kMinStopMs = 100;
 constexpr std::int64_t kMaxStopMs = 3'600'000;
 
 GatewaySettings ReadSettings(Reader& reader) {
@@ -27,10 +28,13 @@
   result.first_start = reader.Boolean("first_start", false);
   result.log_level =
       reader.Enum("log_level", settings::kLogLevelNames, &result.log_level);
-  result.stop_grace =
-      reader.Milliseconds("stop_grace_ms", 0, kMaxStopMs, result.stop_grace);
-  result.stop_limit =
-      reader.Milliseconds("stop_limit_ms", 0, kMaxStopMs, result.stop_limit);
+  // Accepted and not used: when requests are refused follows from the limit.
+  reader.Milliseconds("stop_grace_ms", 0, kMaxStopMs, core::Duration{});
+  const core::Duration limit = reader.Milliseconds(
+      "stop_limit_ms", kMinStopMs, kMaxStopMs, core::Duration{});
+  if (limit.count() > 0) {
+    result.stop_limit = limit;
+  }
   return result;
 }
 
--- a/src/bambootack/gateway/settings.h
+++ b/src/bambootack/gateway/settings.h
@@ -2,6 +2,7 @@
 #define BAMBOOTACK_GATEWAY_SETTINGS_H_
 
 #include <boost/leaf/result.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,12 +23,8 @@
   std::string platform_bounds;   ///< Limits in the platform's own format.
   bool first_start = false;      ///< The whole fleet starts for the first time.
   settings::LogLevel log_level = settings::LogLevel::kInfo;
-  /// Time after the start of a graceful shutdown in which new requests are
-  /// still accepted.
-  core::Duration stop_grace = std::chrono::milliseconds(2500);
-  /// Latest exit after the start of a graceful shutdown, even with requests in
-  /// flight.
-  core::Duration stop_limit = std::chrono::milliseconds(5800);
+  /// Time that a graceful shutdown may take; absent: the platform's.
+  std::optional<core::Duration> stop_limit;
 };
 
 /// @brief Parses settings in TOML and checks every key.
--- a/src/bambootack/net/http_server.cc
+++ b/src/bambootack/net/http_server.cc
@@ -89,13 +89,18 @@
     changed_.notify_all();
   }
 
+  std::size_t Count() const {
+    const std::scoped_lock lock(mutex_);
+    return count_;
+  }
+
   bool WaitForNone(std::chrono::milliseconds limit) {
     std::unique_lock lock(mutex_);
     return changed_.wait_for(lock, limit, [this] { return count_ == 0; });
   }
 
  private:
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   std::condition_variable changed_;
   std::size_t count_ = 0;
 };
@@ -162,6 +167,8 @@
     return unsent_->WaitForNone(limit);
   }
 
+  [[nodiscard]] std::size_t UnsentCount() const { return unsent_->Count(); }
+
   [[nodiscard]] std::uint16_t Port() const noexcept { return port_; }
 
  private:
@@ -260,6 +267,8 @@
   impl_->Answer(caller, std::move(answer));
 }
 
+std::size_t HttpServer::UnsentCount() const { return impl_->UnsentCount(); }
+
 bool HttpServer::Flush(std::chrono::milliseconds limit) {
   return impl_->Flush(limit);
 }
--- a/src/bambootack/net/http_server.h
+++ b/src/bambootack/net/http_server.h
@@ -60,6 +60,9 @@
   /// @return True if no answer is left.
   bool Flush(std::chrono::milliseconds limit);
 
+  /// @brief Number of answers that are not written to their sockets yet.
+  [[nodiscard]] std::size_t UnsentCount() const;
+
   /// @brief Port that is listened on.
   /// @return The port, also when the address asked for port 0.
   [[nodiscard]] std::uint16_t Port() const noexcept;
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -55,8 +55,6 @@
 /// Ids of requests to the store, in a range that ids of attempts do not reach.
 constexpr std::uint64_t kFirstStoreRequestId = 1ULL << 62;
 
-constexpr auto kFlushTimeout = std::chrono::milliseconds(200);
-
 core::Time FromSteady(std::chrono::steady_clock::time_point time) {
   return core::Time(
       std::chrono::duration_cast<core::Duration>(time.time_since_epoch()));
@@ -175,8 +173,10 @@
     log_.Add({log::EventId::kStopping,
               fmt::format("in_flight={}", gateway_.InFlight())},
              Now());
-    gateway_.BeginShutdown();
-    shutdown_.emplace(Now(), settings_.stop_grace, settings_.stop_limit);
+    const gateway::ShutdownSchedule schedule = gateway::PlanShutdown(
+        Now(), settings_.stop_limit.value_or(limits_.limits.stop_grace));
+    gateway_.BeginShutdown(schedule);
+    shutdown_.emplace(schedule);
   }
 
   /// Performs the actions that follow from the last events and sets the timer.
@@ -215,22 +215,35 @@
     if (!shutdown_) {
       return;
     }
-    shutdown_->RecordInFlight(gateway_.InFlight(), now);
-    if (shutdown_->RefusesNewRequests(now)) {
-      gateway_.RefuseNewRequests();
+    shutdown_->RecordInFlight(RequestsInProgress(), now);
+    if (shutdown_->IsComplete(now) && !exiting_) {
+      exiting_ = true;
+      // Requests that were read before are handled first.
+      asio::post(io_context_, [this] { Exit(); });
     }
+  }
+
+  void Exit() {
+    const core::Time now = Now();
+    shutdown_->RecordInFlight(RequestsInProgress(), now);
     if (!shutdown_->IsComplete(now)) {
+      exiting_ = false;
+      SetTimer(now);
       return;
     }
-    const bool cut = gateway_.InFlight() > 0;
-    exit_code_ = cut ? 1 : 0;
-    log_.Add({cut ? log::EventId::kStopCut : log::EventId::kStopped,
-              fmt::format("in_flight={}", gateway_.InFlight())},
+    const std::size_t cut = RequestsInProgress();
+    exit_code_ = cut > 0 ? 1 : 0;
+    log_.Add({cut > 0 ? log::EventId::kStopCut : log::EventId::kStopped,
+              fmt::format("in_flight={}", cut)},
              now);
-    caller_server_.Flush(kFlushTimeout);
     io_context_.stop();
   }
 
+  /// Requests without an answer, and answers that are not transmitted yet.
+  [[nodiscard]] std::size_t RequestsInProgress() const {
+    return gateway_.InFlight() + caller_server_.UnsentCount();
+  }
+
   void SetTimer(core::Time now) {
     std::optional<core::Time> next = gateway_.NextTimer();
     const auto earlier = [&](std::optional<core::Time> other) {
@@ -390,6 +403,7 @@
   asio::steady_timer timer_;
   asio::signal_set signals_;
   std::optional<gateway::GracefulShutdown> shutdown_;
+  bool exiting_ = false;  ///< `Exit` is due.
   int exit_code_ = 0;
   bool ready_logged_ = false;
   std::uint64_t last_store_request_id_ = kFirstStoreRequestId;
