Handle up to 16 pipelined requests of a connection at once, and close after the last

Cause: RESTinio read two requests of a connection; a third waited unread until the first was answered, while its caller gives up on a request that is not read within a second. An answer with Connection: close, as in a planned stop, cut the answer of a request behind it that a server was executing, and requests read behind such an answer were executed although their caller sends them again. Change: 16 requests in progress; only the answer to the newest request that was read closes the connection; what is read behind it is not handled. Ruled out: no limit (16 unread bodies of one caller would be held); answering one at a time (a slow first request holds the deadlines of the others).

--- a/src/bambootack/net/http_server.cc
+++ b/src/bambootack/net/http_server.cc
@@ -18,9 +18,11 @@
 
 using detail::PendingRequests;
 
-/// Requests of one connection in progress. With 2, RESTinio goes on reading
-/// while one is answered, and so notices that a caller hangs up.
-constexpr std::size_t kMaxPipelined = 2;
+/// Requests of one connection in progress. RESTinio reads on below this number,
+/// and so notices that a caller hangs up; further requests wait unread. They
+/// are handled at the same time and answered in order, so that a slow first one
+/// delays the answers of the others, but not their work.
+constexpr std::size_t kMaxPipelined = 16;
 
 constexpr std::size_t kMaxUrlBytes = 8192;
 constexpr std::size_t kMaxFields = 100;
@@ -204,7 +206,11 @@
   }
 
   void Accept(const restinio::request_handle_t& request) {
-    const core::CallerId caller = pending_->Add(request);
+    const auto added = pending_->Add(request);
+    if (!added) {
+      return;
+    }
+    const core::CallerId caller = *added;
     core::HttpRequest http = ToRequest(*request);
     if (const auto kind = CheckRequest(http)) {
       const bool keyed =
@@ -223,14 +229,11 @@
     auto response = request->create_response(restinio::http_status_line_t(
         restinio::http_status_code_t(static_cast<std::uint16_t>(answer.status)),
         std::string(ReasonPhrase(answer.status))));
-    if (close) {
+    const auto closing = std::erase_if(answer.headers, IsConnectionClose);
+    if (pending_->ClosesConnection(*request, caller, close || closing > 0)) {
       response.connection_close();
     }
     for (core::HeaderField& it : answer.headers) {
-      if (IsConnectionClose(it)) {
-        response.connection_close();
-        continue;
-      }
       response.append_header(std::move(it.name), std::move(it.value));
     }
     response.set_body(std::move(answer.body));
--- a/src/bambootack/net/pending_requests.h
+++ b/src/bambootack/net/pending_requests.h
@@ -1,8 +1,10 @@
 #ifndef BAMBOOTACK_NET_PENDING_REQUESTS_H_
 #define BAMBOOTACK_NET_PENDING_REQUESTS_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <mutex>
+#include <optional>
 #include <restinio/all.hpp>
 #include <unordered_map>
 #include <utility>
@@ -17,16 +19,45 @@
  public:
   using Connection = restinio::connection_id_t;
 
-  core::CallerId Add(const restinio::request_handle_t& request) {
+  /// Adds a request, unless an earlier answer will close its connection: the
+  /// caller takes such a request for one that was not read and sends it again.
+  std::optional<core::CallerId> Add(const restinio::request_handle_t& request) {
     const std::scoped_lock lock(mutex_);
+    Row& row = rows_[request->connection_id()];
+    if (row.close_after) {
+      return std::nullopt;
+    }
     const core::CallerId caller{++last_};
     pending_[caller] = request;
-    Row& row = rows_[request->connection_id()];
     row.callers.push_back(caller);
+    row.newest = caller;
     ++row.unwritten;
     return caller;
   }
 
+  /// Decides whether the answer to a request closes its connection. Answers are
+  /// sent in the order of the requests, and nothing follows one that closes, so
+  /// only the answer to the newest request may.
+  /// @param requested Whether the answer asks for it. Once one has, the answer
+  /// to the newest request closes the connection.
+  bool ClosesConnection(const restinio::request_t& request,
+                        core::CallerId caller, bool requested) {
+    const std::scoped_lock lock(mutex_);
+    const auto it = rows_.find(request.connection_id());
+    if (it == rows_.end()) {
+      return requested;
+    }
+    Row& row = it->second;
+    const bool newest_is_open =
+        row.newest == caller ||
+        std::find(row.callers.begin(), row.callers.end(), row.newest) !=
+            row.callers.end();
+    if (requested && !row.close_after && newest_is_open) {
+      row.close_after = row.newest;
+    }
+    return row.close_after == caller;
+  }
+
   restinio::request_handle_t Take(core::CallerId caller) {
     const std::scoped_lock lock(mutex_);
     const auto it = pending_.find(caller);
@@ -78,6 +109,9 @@
   struct Row {
     std::vector<core::CallerId> callers;
     std::size_t unwritten = 0;
+    core::CallerId newest{};  ///< Last request that was read.
+    /// Request whose answer closes the connection.
+    std::optional<core::CallerId> close_after;
   };
 
   mutable std::mutex mutex_;
--- a/test/bambootack/net/http_server_test.cc
+++ b/test/bambootack/net/http_server_test.cc
@@ -2,9 +2,13 @@
 
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <condition_variable>
 #include <future>
+#include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "bambootack/net/raw_socket.h"
@@ -55,6 +59,75 @@
   net::HttpServer server_;
 };
 
+/// A server that is answered by the test.
+class ManualServer {
+ public:
+  ManualServer()
+      : server_(
+            {.address = "127.0.0.1:0"},
+            [this](core::CallerId caller, core::HttpRequest http) {
+              Add(requests_, std::pair(caller, std::move(http.target)));
+            },
+            [this](core::CallerId caller) { Add(gone_, caller); }) {}
+
+  RawClient Connect() { return RawClient(server_.Port()); }
+
+  /// Waits until a number of requests has been read.
+  std::vector<std::pair<core::CallerId, std::string>> WaitForRequests(
+      std::size_t count) {
+    return WaitFor(requests_, count);
+  }
+
+  /// Waits until a number of callers has hung up.
+  std::vector<core::CallerId> WaitForGone(std::size_t count) {
+    return WaitFor(gone_, count);
+  }
+
+  void Answer(core::CallerId caller, const std::string& body, bool close) {
+    core::HttpAnswer answer{200, {}, body};
+    if (close) {
+      answer.headers.push_back({"Connection", "close"});
+    }
+    server_.Answer(caller, std::move(answer));
+  }
+
+ private:
+  static constexpr std::chrono::seconds kLimit{20};
+
+  template <typename T>
+  void Add(std::vector<T>& list, T value) {
+    const std::scoped_lock lock(mutex_);
+    list.push_back(std::move(value));
+    changed_.notify_all();
+  }
+
+  template <typename T>
+  std::vector<T> WaitFor(const std::vector<T>& list, std::size_t count) {
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, kLimit, [&] { return list.size() >= count; });
+    return list;
+  }
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<std::pair<core::CallerId, std::string>> requests_;
+  std::vector<core::CallerId> gone_;
+  net::HttpServer server_;
+};
+
+std::string Get(const std::string& target) {
+  return "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n";
+}
+
+std::size_t CountOf(const std::string& text, const std::string& part) {
+  std::size_t count = 0;
+  for (std::size_t at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + part.size())) {
+    ++count;
+  }
+  return count;
+}
+
 struct RefusalCase {
   std::string name;
   std::string request;
@@ -246,4 +319,79 @@
   runner.join();
 }
 
+// Guards against a pipelined request that is not read before the first one is
+// answered, while its caller gives up, and against answers out of order.
+BOOST_AUTO_TEST_CASE(
+    pipelined_requests_are_read_at_once_and_answered_in_order) {
+  constexpr std::size_t kCount = 6;
+  ManualServer server;
+  RawClient client = server.Connect();
+  std::string requests;
+  for (std::size_t i = 0; i < kCount; ++i) {
+    requests += Get("/" + std::to_string(i));
+  }
+  client.Send(requests);
+  auto read = server.WaitForRequests(kCount);
+  BOOST_TEST_REQUIRE(read.size() == kCount);
+  for (std::size_t i = kCount; i-- > 0;) {
+    server.Answer(read[i].first, "body" + read[i].second + ";", i == 0);
+  }
+  std::string answers = client.ReadUntil("body/5;");
+  std::size_t position = 0;
+  for (std::size_t i = 0; i < kCount; ++i) {
+    const std::size_t at = answers.find("body/" + std::to_string(i) + ";");
+    BOOST_TEST(at != std::string::npos, i);
+    BOOST_TEST(at >= position, i);
+    position = at;
+  }
+}
+
+// Guards against an answer that closes the connection while a request behind it
+// is at work: its answer would be lost.
+BOOST_AUTO_TEST_CASE(
+    a_connection_closes_after_the_answer_to_its_newest_request) {
+  ManualServer server;
+  RawClient client = server.Connect();
+  client.Send(Get("/0") + Get("/1") + Get("/2"));
+  const auto read = server.WaitForRequests(3);
+  BOOST_TEST_REQUIRE(read.size() == 3U);
+  server.Answer(read[0].first, "first;", true);
+  BOOST_TEST(client.ReadUntil("first;").find("close") == std::string::npos);
+  server.Answer(read[2].first, "third;", false);
+  server.Answer(read[1].first, "second;", true);
+  const std::string answers = client.ReadAll();
+  BOOST_TEST(answers.find("second;") < answers.find("third;"));
+  BOOST_TEST(answers.find("third;") != std::string::npos);
+  BOOST_TEST(CountOf(answers, "Connection: close") == 1U);
+}
+
+// Guards against a request that is handled although an answer before it has
+// announced the close, so that its caller sends it again.
+BOOST_AUTO_TEST_CASE(requests_behind_a_closing_answer_are_not_handled) {
+  ManualServer server;
+  RawClient client = server.Connect();
+  client.Send(Get("/0") + Get("/1"));
+  auto read = server.WaitForRequests(2);
+  BOOST_TEST_REQUIRE(read.size() == 2U);
+  server.Answer(read[0].first, "first;", true);
+  client.ReadUntil("first;");
+  client.Send(Get("/2"));
+  server.Answer(read[1].first, "second;", false);
+  const std::string answers = client.ReadAll();
+  BOOST_TEST(answers.find("second;") != std::string::npos);
+  BOOST_TEST(server.WaitForRequests(2).size() == 2U);
+}
+
+// Guards against work that goes on for the requests of a caller that has hung
+// up with several in flight.
+BOOST_AUTO_TEST_CASE(
+    each_pipelined_request_of_a_caller_that_hangs_up_is_reported) {
+  ManualServer server;
+  RawClient client = server.Connect();
+  client.Send(Get("/0") + Get("/1") + Get("/2"));
+  BOOST_TEST_REQUIRE(server.WaitForRequests(3).size() == 3U);
+  client.Close();
+  BOOST_TEST(server.WaitForGone(3).size() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
