Repeat the requests of download routes, and report unknown types of routes

Cause: only routes of type safe were decoded as repeatable, so a download whose answer was lost was never sent again and never probed a server. Change: safe and download are repeatable; any other type than non_idempotent is kept at most once and logged with its name (720). Test that failed first: the_type_of_a_route_tells_whether_requests_are_ repeatable (download: not repeatable).

--- a/src/bambootack/log/event.cc
+++ b/src/bambootack/log/event.cc
@@ -120,6 +120,10 @@
     EventInfo{EventId::kServerPaused, LogLevel::kInfo, "server-paused",
               "a server wants no requests from this VM for some time",
               LineLimit::kRequest},
+    EventInfo{EventId::kRouteTypeUnknown, LogLevel::kWarning,
+              "route-type-unknown",
+              "a configuration has routes of a type that this version does not "
+              "know; their requests are not repeated"},
 };
 
 }  // namespace
--- a/src/bambootack/log/event.h
+++ b/src/bambootack/log/event.h
@@ -61,6 +61,7 @@
   kStateSent = 717,
   kServerLeaving = 718,
   kServerPaused = 719,
+  kRouteTypeUnknown = 720,
 };
 
 /// @brief How often an event is written; see `LineLimiter`.
--- a/test/platform/decode_test.cc
+++ b/test/platform/decode_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+namespace gateway = bambootack::gateway;
 namespace platform = bambootack::platform;
 
 namespace {
@@ -32,8 +33,10 @@
 BOOST_AUTO_TEST_SUITE(decode)
 
 BOOST_AUTO_TEST_CASE(a_configuration_is_decoded_completely) {
-  const auto config = platform::DecodeConfig(kConfig);
-  BOOST_TEST_REQUIRE(config.has_value());
+  const auto decoded = platform::DecodeConfig(kConfig);
+  BOOST_TEST_REQUIRE(decoded.has_value());
+  BOOST_TEST(decoded->unknown_route_types.empty());
+  const gateway::GatewayConfig* config = &decoded->config;
   BOOST_TEST(config->version == 12U);
   BOOST_TEST_REQUIRE(config->routes.size() == 2U);
   const auto& book = config->routes[0];
@@ -51,6 +54,29 @@
   BOOST_TEST(config->services.size() == 2U);
 }
 
+// Guards against downloads that are never sent again after a lost answer, and
+// against a type of a later version that is executed twice.
+BOOST_AUTO_TEST_CASE(
+    the_type_of_a_route_tells_whether_requests_are_repeatable) {
+  struct Case {
+    std::string type;
+    bool repeatable = false;
+    bool known = true;
+  };
+  const std::vector<Case> cases{{"safe", true, true},
+                                {"download", true, true},
+                                {"non_idempotent", false, true},
+                                {"Safe", false, false},
+                                {"stream", false, false}};
+  for (const Case& it : cases) {
+    const auto decoded = platform::DecodeConfig(
+        Replace(kConfig, "\"safe\"", "\"" + it.type + "\""));
+    BOOST_TEST_REQUIRE(decoded.has_value(), it.type);
+    BOOST_TEST(decoded->config.routes[1].repeatable == it.repeatable, it.type);
+    BOOST_TEST(decoded->unknown_route_types.empty() == it.known, it.type);
+  }
+}
+
 // Guards against a configuration that is applied in part.
 BOOST_AUTO_TEST_CASE(a_configuration_with_an_invalid_part_is_rejected) {
   const std::string text = kConfig;
