--- a/src/bambootack/core/address.cc
+++ b/src/bambootack/core/address.cc
@@ -2,22 +2,47 @@
 
 #include <asio/ip/address.hpp>
 #include <charconv>
+#include <cstddef>
+#include <optional>
 #include <system_error>
 
 namespace bambootack::core {
 
-bool IsAddress(const std::string& text) {
+namespace {
+
+bool IsPort(const char* begin, const char* end) {
+  unsigned port = 0;
+  const auto parsed = std::from_chars(begin, end, port);
+  return parsed.ec == std::errc() && parsed.ptr == end && port > 0 &&
+         port <= 65535;
+}
+
+/// Splits an address at its port, or returns nothing if that is not valid.
+std::optional<std::string> HostOf(const std::string& text) {
   const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return false;
+  const bool valid = colon != std::string::npos &&
+                     IsPort(text.data() + colon + 1, text.data() + text.size());
+  return valid ? std::optional(text.substr(0, colon)) : std::nullopt;
+}
+
+}  // namespace
+
+bool IsAddress(const std::string& text) {
+  const auto host = HostOf(text);
+  std::error_code ec;
+  if (host) {
+    asio::ip::make_address(*host, ec);
   }
+  return host && !ec;
+}
+
+bool IsIpv4Address(const std::string& text) {
+  const auto host = HostOf(text);
   std::error_code ec;
-  asio::ip::make_address(text.substr(0, colon), ec);
-  unsigned port = 0;
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-  return !ec && parsed.ec == std::errc() && parsed.ptr == end && port > 0 &&
-         port <= 65535;
+  if (host) {
+    asio::ip::make_address_v4(*host, ec);
+  }
+  return host && !ec;
 }
 
 }  // namespace bambootack::core
--- a/src/bambootack/gateway/settings.cc
+++ b/src/bambootack/gateway/settings.cc
@@ -12,7 +12,6 @@
 using toml_reader::Address;
 using toml_reader::Reader;
 
-constexpr std::int64_t kMinStopMs = 100;
 constexpr std::int64_t kMaxStopMs = 3'600'000;
 
 GatewaySettings ReadSettings(Reader& reader) {
@@ -31,7 +30,7 @@
   // Accepted and not used: when requests are refused follows from the limit.
   reader.Milliseconds("stop_grace_ms", 0, kMaxStopMs, core::Duration{});
   const core::Duration limit = reader.Milliseconds(
-      "stop_limit_ms", kMinStopMs, kMaxStopMs, core::Duration{});
+      "stop_limit_ms", 0, kMaxStopMs, core::Duration{});
   if (limit.count() > 0) {
     result.stop_limit = limit;
   }
--- a/src/bambootack/gateway/settings.h
+++ b/src/bambootack/gateway/settings.h
@@ -23,7 +23,8 @@
   std::string platform_bounds;   ///< Limits in the platform's own format.
   bool first_start = false;      ///< The whole fleet starts for the first time.
   settings::LogLevel log_level = settings::LogLevel::kInfo;
-  /// Time that a graceful shutdown may take; absent: the platform's.
+  /// Time that a graceful shutdown may take; absent or 0 in the
+  /// file: the platform's.
   std::optional<core::Duration> stop_limit;
 };
 
