--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -23,7 +23,8 @@
     : options_(std::move(options)),
       random_(seed),
       peers_(options_.vm),
-      sync_(options_.vm, options_.failure_domain, registry_, peers_) {}
+      sync_(options_.vm, options_.failure_domain, options_.change_time,
+            registry_, peers_) {}
 
 void Gateway::Configure(GatewayConfig config, core::Time now) {
   if (config.version <= routes_->Version()) {
--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -44,6 +44,9 @@
   double retry_ratio = 0.1;  ///< Retries per first attempt.
   double retry_burst = 1.0;  ///< Retries of the whole fleet beyond the ratio.
   core::Duration retry_window = std::chrono::seconds(10);
+  /// Time within which a change of servers or of the configuration must be in
+  /// force.
+  core::Duration change_time = std::chrono::seconds(2);
 };
 
 /// @brief Action: transmits a request once to a backend server.
--- a/src/bambootack/gateway/settings.cc
+++ b/src/bambootack/gateway/settings.cc
@@ -29,8 +29,8 @@
       reader.Enum("log_level", settings::kLogLevelNames, &result.log_level);
   // Accepted and not used: when requests are refused follows from the limit.
   reader.Milliseconds("stop_grace_ms", 0, kMaxStopMs, core::Duration{});
-  const core::Duration limit = reader.Milliseconds(
-      "stop_limit_ms", 0, kMaxStopMs, core::Duration{});
+  const core::Duration limit =
+      reader.Milliseconds("stop_limit_ms", 0, kMaxStopMs, core::Duration{});
   if (limit.count() > 0) {
     result.stop_limit = limit;
   }
--- a/src/bambootack/gateway/state_sync.cc
+++ b/src/bambootack/gateway/state_sync.cc
@@ -9,12 +9,6 @@
 namespace bambootack::gateway {
 namespace {
 
-/// State older than this is stale. Draining servers must receive no requests
-/// from 2 s after their report on, and a change of the configuration must be in
-/// force after 2 s; the remaining 0.5 s suffice for a read of the store by this
-/// VM.
-constexpr core::Duration kMaxStateAge = std::chrono::milliseconds(1500);
-
 /// A store reader that sent no recent update is skipped for this long, unless
 /// it sends one earlier.
 constexpr core::Duration kSkipTime = std::chrono::seconds(10);
@@ -81,7 +75,7 @@
 }
 
 core::Time StateSync::StaleAt() const {
-  return confirmed_at_ ? *confirmed_at_ + kMaxStateAge : first_read_at_;
+  return confirmed_at_ ? *confirmed_at_ + max_state_age_ : first_read_at_;
 }
 
 bool StateSync::ShouldReadStore(core::Time now) const {
@@ -119,7 +113,7 @@
                              core::Time now) {
   const bool was_stale = confirmed_at_ && now >= StaleAt();
   confirmed_at_ = std::max(confirmed_at_.value_or(confirmed), confirmed);
-  if (now >= confirmed + kMaxStateAge) {
+  if (now >= confirmed + max_state_age_) {
     return;
   }
   skipped_until_.erase(source);
--- a/src/bambootack/gateway/state_sync.h
+++ b/src/bambootack/gateway/state_sync.h
@@ -41,12 +41,15 @@
   using OutgoingMessage = std::pair<core::VmId, PeerMessage>;
 
   /// @param failure_domain Failure domain of this VM.
+  /// @param change_time Time within which a change must be in force.
   /// @param registry Receives the changes from peers; must outlive this object.
   /// @param peers VMs of the fleet; must outlive this object.
   StateSync(core::VmId self, std::string failure_domain,
-            ServerRegistry& registry, PeerDirectory& peers)
+            core::Duration change_time, ServerRegistry& registry,
+            PeerDirectory& peers)
       : self_(self),
         failure_domain_(std::move(failure_domain)),
+        max_state_age_(change_time * 3 / 4),
         registry_(registry),
         peers_(peers),
         send_budget_(kSendBytesPerSecond, kSendBurstBytes) {}
@@ -102,6 +105,12 @@
   /// @brief Next time to call `OnTimer` and to check `ShouldReadStore`.
   [[nodiscard]] core::Time NextTimer() const;
 
+  /// @brief Age from which on state is stale. What is left of the time within
+  /// which a change must be in force suffices for a read of the store.
+  [[nodiscard]] core::Duration MaxStateAge() const noexcept {
+    return max_state_age_;
+  }
+
   /// @brief Time since the store confirmed the state, or nothing before the
   /// first state.
   [[nodiscard]] std::optional<core::Duration> StateAge(core::Time now) const {
@@ -146,6 +155,7 @@
 
   core::VmId self_;
   std::string failure_domain_;
+  core::Duration max_state_age_;
   ServerRegistry& registry_;
   PeerDirectory& peers_;
   std::uint64_t position_ = 0;
--- a/src/gateway/identity.cc
+++ b/src/gateway/identity.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <sodium.h>
 
+#include <algorithm>
 #include <array>
 #include <asio/ip/address_v4.hpp>
 #include <stdexcept>
@@ -41,6 +42,7 @@
   options.retry_ratio = limits.retry_ratio;
   options.retry_burst = limits.retry_burst;
   options.retry_window = limits.retry_window;
+  options.change_time = std::min(limits.drain_time, limits.config_time);
   return options;
 }
 
--- a/test/bambootack/gateway/state_sync_test.cc
+++ b/test/bambootack/gateway/state_sync_test.cc
@@ -21,8 +21,9 @@
 }
 
 struct Vm {
-  Vm(core::VmId self, const std::string& domain)
-      : peers(self), sync(self, domain, registry, peers) {}
+  Vm(core::VmId self, const std::string& domain,
+     core::Duration change_time = milliseconds(2000))
+      : peers(self), sync(self, domain, change_time, registry, peers) {}
 
   ServerRegistry registry;
   PeerDirectory peers;
@@ -265,6 +266,26 @@
   BOOST_TEST(vms[member]->registry.Servers().contains("c"));
 }
 
+// Guards against constants of one platform: a change may have to be in force
+// within one second, or within three.
+BOOST_AUTO_TEST_CASE(state_goes_stale_before_a_change_must_be_in_force) {
+  constexpr core::Time kConfirmed{core::Duration(1'000'000)};
+  for (const milliseconds change_time :
+       {milliseconds(1000), milliseconds(2000), milliseconds(3000)}) {
+    // A VM whose domain has a store reader that comes first.
+    Vm vm(core::VmId{1}, "west", change_time);
+    for (std::uint32_t i = 2; i <= 40; ++i) {
+      vm.peers.Add({core::VmId{i}, {}, "10.0.1.2:1", "west"});
+    }
+    vm.sync.MarkFleetKnown();
+    BOOST_TEST_REQUIRE(!vm.sync.IsStoreReader(kConfirmed));
+    vm.sync.RecordStoreRead(1, kConfirmed, kConfirmed);
+    const core::Duration age = change_time * 3 / 4;
+    BOOST_TEST(!vm.sync.ShouldReadStore(kConfirmed + age - milliseconds(1)));
+    BOOST_TEST(vm.sync.ShouldReadStore(kConfirmed + age));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bambootack::gateway
--- a/test/platform/topic_consumer_test.cc
+++ b/test/platform/topic_consumer_test.cc
@@ -53,8 +53,9 @@
 
   core::Time now{core::Duration(5'000'000)};
   core::Random random{1};
-  platform::TopicConsumer consumer{"keyed.servers",
-                                   {milliseconds(900), milliseconds(150)}};
+  platform::TopicConsumer consumer{
+      "keyed.servers",
+      {milliseconds(900), milliseconds(150), milliseconds(1100)}};
 };
 
 }  // namespace
