Soak: pipelined callers, downloads, and no cut in any planned stop

Callers send two to six repeatable requests on one connection before the first is answered; servers answer a route of type download with up to half a megabyte. The ledger checks each answer as before, so answers out of order or cut off break MIXED or LOST. A request that a server has run and that a planned stop cuts breaks LOST however late it was sent; before, only those of the first 3 s did.

--- a/test/soak/backend.cc
+++ b/test/soak/backend.cc
@@ -15,6 +15,7 @@
 constexpr std::size_t kSlots = 4;
 constexpr double kWorkMs = 40.0;
 constexpr std::size_t kMaxFillBytes = 4000;
+constexpr std::size_t kMaxDownloadBytes = 500'000;
 
 }  // namespace
 
@@ -24,7 +25,9 @@
 }
 
 std::string BodyOf(std::string_view id, std::string_view target) {
-  const std::size_t fill = core::HashBytes(id) % kMaxFillBytes;
+  const std::size_t limit =
+      target.starts_with(kDownloadPrefix) ? kMaxDownloadBytes : kMaxFillBytes;
+  const std::size_t fill = core::HashBytes(id) % limit;
   return fmt::format("{} {} {}", id, target, std::string(fill, 'x'));
 }
 
--- a/test/soak/backend.h
+++ b/test/soak/backend.h
@@ -22,10 +22,13 @@
 /// @return The names.
 [[nodiscard]] const bambootack::gateway::HeaderNames& Names();
 
+/// @brief Prefix of the route of downloads.
+inline constexpr std::string_view kDownloadPrefix = "/fetch/";
+
 /// @brief The body that a backend server gives to a request.
 /// @param id Id of the request.
 /// @param target Its target.
-/// @return The body, some kilobytes.
+/// @return The body, some kilobytes; up to half a megabyte for downloads.
 [[nodiscard]] std::string BodyOf(std::string_view id, std::string_view target);
 
 /// @brief The signature that a backend server gives to a request.
--- a/test/soak/ledger.cc
+++ b/test/soak/ledger.cc
@@ -17,7 +17,6 @@
 constexpr core::Duration kDrain = milliseconds(2000);
 constexpr core::Duration kExtraTime = milliseconds(500);
 constexpr core::Duration kGoneTime = milliseconds(500);
-constexpr core::Duration kStopRequests = milliseconds(3000);
 constexpr core::Duration kRetryWindow = std::chrono::seconds(10);
 constexpr core::Duration kRecovery = std::chrono::seconds(15);
 constexpr double kRepeatShare = 0.2;
@@ -230,7 +229,8 @@
   }
 }
 
-/// A planned stop cuts no request, and neither does a machine in touch.
+/// A planned stop cuts no request, however late it was taken, and neither does
+/// a machine in touch.
 void Ledger::CheckLoss(const std::string& id, const Attempt& attempt,
                        core::Time now) {
   const bool calm = view_.gateways[attempt.gateway].IsCalm(now);
@@ -238,7 +238,7 @@
     return;
   }
   const auto& stopping = view_.stopping[attempt.gateway];
-  if (stopping && attempt.sent <= *stopping + kStopRequests) {
+  if (stopping) {
     Break("LOST",
           fmt::format("request={} gateway={} was cut by a planned stop", id,
                       attempt.gateway),
--- a/test/soak/traffic.cc
+++ b/test/soak/traffic.cc
@@ -2,11 +2,15 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
-#include <string_view>
+#include <memory>
 #include <utility>
 #include <vector>
 
+#include "soak/backend.h"
+#include "soak/pipelined_caller.h"
+
 namespace soak {
 namespace {
 
@@ -27,8 +31,19 @@
 constexpr double kLargeBodyShare = 0.05;
 constexpr std::size_t kLargeBodyBytes = 40'000;
 
-constexpr std::array<std::string_view, 4> kPrefixes{"/book/", "/read/", "/pay/",
-                                                    "/flip/"};
+/// Share of requests that start a connection with several at once.
+constexpr double kPipelineShare = 0.08;
+constexpr std::size_t kMaxPipelined = 6;
+
+constexpr std::array<std::string_view, 3> kRepeatablePrefixes{
+    "/read/", "/flip/", kDownloadPrefix};
+constexpr std::array<std::string_view, 5> kPrefixes{"/book/", "/read/", "/pay/",
+                                                    "/flip/", kDownloadPrefix};
+
+bool IsRepeatable(std::string_view prefix) {
+  return std::find(kRepeatablePrefixes.begin(), kRepeatablePrefixes.end(),
+                   prefix) != kRepeatablePrefixes.end();
+}
 
 }  // namespace
 
@@ -91,21 +106,15 @@
   return candidates[world_.random.Below(candidates.size())];
 }
 
-void Traffic::Send() {
-  const auto vm = ChooseVm();
-  if (!vm) {
-    return;
-  }
+Traffic::Request Traffic::MakeRequest(std::size_t vm, std::string_view prefix) {
   const std::uint64_t number = ++last_request_;
   const std::string id = fmt::format("a{}-{}", world_.options.seed, number);
-  const std::string_view prefix =
-      kPrefixes[world_.random.Below(kPrefixes.size())];
-  const bool repeatable = prefix == "/read/" || prefix == "/flip/";
+  const bool repeatable = IsRepeatable(prefix);
   const bool large = world_.random.Unit() < kLargeBodyShare;
   Attempt attempt;
   attempt.prefix = prefix;
   attempt.repeatable = repeatable;
-  attempt.gateway = *vm;
+  attempt.gateway = vm;
   attempt.sent = World::Now();
   attempt.left = kTimeout;
   attempt.http = {repeatable ? "GET" : "POST",
@@ -115,31 +124,74 @@
   if (large && !repeatable) {
     attempt.http.body.append(kLargeBodyBytes, 'b');
   }
-  HttpCall call;
-  call.address = fmt::format("{}:9104", world_.vms[*vm].ip);
-  call.http = attempt.http;
-  call.http.headers = {
+  core::HttpRequest http = attempt.http;
+  http.headers = {
       {"Host", "soak.example"},
       {Names().request_id, id},
       {Names().remaining_ms, std::to_string(core::ToMilliseconds(kTimeout))}};
-  call.timeout = kTimeout + kOverdue;
   world_.ledger.NoteSent(id, std::move(attempt));
   ++in_flight_;
-  client_.Start(number, std::move(call), [this, id](HttpCallResult result) {
-    asio::post(world_.io, [this, id, result = std::move(result)] {
-      --in_flight_;
-      world_.ledger.NoteEnd(id, result, World::Now());
-    });
-  });
+  return {id, std::move(http)};
+}
+
+void Traffic::Send() {
+  const auto vm = ChooseVm();
+  if (!vm) {
+    return;
+  }
+  if (world_.random.Unit() < kPipelineShare) {
+    SendPipelined(*vm);
+    return;
+  }
+  auto [id, http] =
+      MakeRequest(*vm, kPrefixes[world_.random.Below(kPrefixes.size())]);
+  const std::uint64_t number = last_request_;
+  HttpCall call;
+  call.address = fmt::format("{}:{}", world_.vms[*vm].ip, kFrontPort);
+  call.http = std::move(http);
+  call.timeout = kTimeout + kOverdue;
+  client_.Start(number, std::move(call),
+                [this, id = id](HttpCallResult result) {
+                  asio::post(world_.io, [this, id, result = std::move(result)] {
+                    --in_flight_;
+                    world_.ledger.NoteEnd(id, result, World::Now());
+                  });
+                });
   if (world_.random.Unit() < kGiveUpShare) {
-    world_.After(milliseconds(world_.random.Below(200)), [this, id, number] {
-      if (!world_.ledger.HasEnded(id)) {
-        client_.Cancel(number);
-        world_.ledger.NoteLeft(id, World::Now());
-        --in_flight_;
-      }
-    });
+    world_.After(milliseconds(world_.random.Below(200)),
+                 [this, id = id, number] {
+                   if (!world_.ledger.HasEnded(id)) {
+                     client_.Cancel(number);
+                     world_.ledger.NoteLeft(id, World::Now());
+                     --in_flight_;
+                   }
+                 });
   }
 }
 
+void Traffic::SendPipelined(std::size_t vm) {
+  std::vector<std::string> ids;
+  std::vector<std::string> requests;
+  const std::size_t count = 2 + world_.random.Below(kMaxPipelined - 1);
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto [id, http] = MakeRequest(
+        vm,
+        kRepeatablePrefixes[world_.random.Below(kRepeatablePrefixes.size())]);
+    std::string text = fmt::format("GET {} HTTP/1.1\r\n", http.target);
+    for (const core::HeaderField& it : http.headers) {
+      text += fmt::format("{}: {}\r\n", it.name, it.value);
+    }
+    ids.push_back(id);
+    requests.push_back(text + "\r\n");
+  }
+  const auto caller = std::make_shared<PipelinedCaller>(
+      world_.io, std::move(requests), kTimeout + kOverdue,
+      [this, ids = std::move(ids)](std::size_t number,
+                                   const HttpCallResult& result) {
+        --in_flight_;
+        world_.ledger.NoteEnd(ids[number], result, World::Now());
+      });
+  caller->Start({asio::ip::make_address(world_.vms[vm].ip), kFrontPort});
+}
+
 }  // namespace soak
--- a/test/soak/traffic.h
+++ b/test/soak/traffic.h
@@ -1,7 +1,12 @@
 #ifndef TEST_SOAK_TRAFFIC_H_
 #define TEST_SOAK_TRAFFIC_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
 
 #include "bambootack/net/http_client.h"
 #include "soak/world.h"
@@ -30,7 +35,12 @@
   [[nodiscard]] int InFlight() const noexcept { return in_flight_; }
 
  private:
+  /// A request that is noted in the ledger, and its id.
+  using Request = std::pair<std::string, bambootack::core::HttpRequest>;
+
   void Send();
+  void SendPipelined(std::size_t vm);
+  [[nodiscard]] Request MakeRequest(std::size_t vm, std::string_view prefix);
   void AskReady(std::size_t vm);
   [[nodiscard]] std::optional<std::size_t> ChooseVm();
 
--- a/test/soak/world.cc
+++ b/test/soak/world.cc
@@ -22,7 +22,6 @@
 constexpr int kOperatorPort = 9101;
 constexpr int kMetricsPort = 9102;
 constexpr int kPeerPort = 9103;
-constexpr int kFrontPort = 9104;
 constexpr int kStorePathPort = 9105;
 constexpr int kServerPort = 9106;
 constexpr int kServerPathPort = 9107;
@@ -53,6 +52,13 @@
   return fmt::format("127.{}.{}", 16 + ((pid >> 8) % 200), pid & 0xFF);
 }
 
+std::string_view RouteType(const SoakRoute& route) {
+  if (route.prefix == kDownloadPrefix) {
+    return "download";
+  }
+  return route.repeatable ? "safe" : "non_idempotent";
+}
+
 }  // namespace
 
 World::World(SoakOptions given)
@@ -365,6 +371,7 @@
            {"/read/", true, {"desk"}},
            {"/pay/", false, {"pay"}},
            {"/flip/", true, {flip}},
+           {std::string(kDownloadPrefix), true, {"desk"}},
            {fmt::format("/added-{}/", version_), true, {"desk"}}}) {
     config.routes[it.prefix] = it;
   }
@@ -372,9 +379,8 @@
   for (const auto& [prefix, it] : config.routes) {
     rows += fmt::format(
         R"({}["r{}","soak.example","{}","{}",1500,600,{},"{}",2,null])",
-        rows.empty() ? "" : ",", prefix, prefix,
-        it.repeatable ? "safe" : "non_idempotent", it.repeatable ? 1 : 0,
-        *it.services.begin());
+        rows.empty() ? "" : ",", prefix, prefix, RouteType(it),
+        it.repeatable ? 1 : 0, *it.services.begin());
   }
   store.Put(
       "keyed.op", "config",
--- a/test/soak/world.h
+++ b/test/soak/world.h
@@ -17,6 +17,9 @@
 
 namespace soak {
 
+/// @brief Port on which the path of callers to a gateway listens.
+inline constexpr std::uint16_t kFrontPort = 9104;
+
 /// @brief What a run of the soak looks like.
 struct SoakOptions {
   std::string build = "build";  ///< Folder of the programs.
