Restart the time limit of an attempt when a large body begins to arrive

Cause: an attempt of a repeatable request was replaced after three average response times, in the midst of a body of half a megabyte on a link of 10 Mbit/s (0.45 s), and its healthy server was ejected. Change: the HTTP client reports heads of answers whose body exceeds 32 KB; the body then has the time limit of an attempt to itself. Ruled out: a report for each answer (a wake-up for each request). Tests: the_time_limit_of_an_attempt_restarts_with_a_large_body, the_start_of_a_large_body_is_reported_before_its_end.

--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -111,6 +111,10 @@
   /// @brief Cancels the request of a caller whose connection has closed.
   void OnCallerDisconnected(core::CallerId caller, core::Time now);
 
+  /// @brief Handles the start of a large answer to an attempt, whose body has a
+  /// time limit of its own.
+  void OnLargeBody(std::uint64_t attempt_id, core::Time now);
+
   /// @brief Handles the result of an attempt.
   /// @param attempt_id Id from `StartAttempt`; one that is no longer in flight
   /// is ignored.
@@ -270,6 +274,7 @@
                    AttemptOutcome outcome,
                    const std::optional<ServerLoad>& load, core::Time now);
   void RetryOrRefuse(core::Handle handle, core::Time now);
+  void LimitAttempt(core::Handle handle, core::Time now);
   using Allowances = std::map<std::string, RetryAllowance, std::less<>>;
 
   [[nodiscard]] RetryAllowance& RetryAllowanceFor(
--- a/src/bambootack/gateway/gateway_attempts.cc
+++ b/src/bambootack/gateway/gateway_attempts.cc
@@ -332,6 +332,12 @@
   request.attempt = Attempt{id, std::move(slot), granter, now};
   ++request.attempts;
   ++request.possible_executions;
+  LimitAttempt(handle, now);
+}
+
+/// Sets the time after which the attempt in flight is replaced.
+void Gateway::LimitAttempt(core::Handle handle, core::Time now) {
+  Request& request = *requests_.Find(handle);
   request.attempt_deadline = request.deadline;
   if (request.route->repeatable &&
       request.possible_executions < request.route->max_attempts) {
@@ -344,6 +350,13 @@
   UpdateTimer(handle, request);
 }
 
+void Gateway::OnLargeBody(std::uint64_t attempt_id, core::Time now) {
+  if (const auto found = by_attempt_.find(attempt_id);
+      found != by_attempt_.end()) {
+    LimitAttempt(found->second, now);
+  }
+}
+
 void Gateway::OnAttemptFinished(std::uint64_t attempt_id, node::AttemptEnd end,
                                 core::HttpAnswer answer, core::Time now) {
   const auto found = by_attempt_.find(attempt_id);
--- a/src/bambootack/net/http_client.cc
+++ b/src/bambootack/net/http_client.cc
@@ -193,6 +193,15 @@
   return coding || lengths > 0 || empty || call.accept_unframed;
 }
 
+bool HasLargeBody(const core::HttpAnswer& answer) {
+  const auto length = core::FindHeader(answer.headers, "Content-Length");
+  std::size_t bytes = 0;
+  if (length) {
+    std::from_chars(length->data(), length->data() + length->size(), bytes);
+  }
+  return bytes > kLargeBodyBytes;
+}
+
 std::size_t OnHeader(char* data, std::size_t size, std::size_t count,
                      void* user) {
   auto* transfer = static_cast<Transfer*>(user);
@@ -217,7 +226,12 @@
     AddHeader(answer, line);
   } else if (answer.status >= kFirstFinalStatus) {
     transfer->headers_done = true;
-    return IsFramed(answer, transfer->call) ? n : 0;
+    if (!IsFramed(answer, transfer->call)) {
+      return 0;
+    }
+    if (transfer->call.on_large_body && HasLargeBody(answer)) {
+      transfer->call.on_large_body();
+    }
   }
   return n;
 }
--- a/src/bambootack/net/http_client.h
+++ b/src/bambootack/net/http_client.h
@@ -14,6 +14,9 @@
 
 namespace bambootack::net {
 
+/// @brief Bodies above this size take long to arrive on a slow link.
+inline constexpr std::size_t kLargeBodyBytes = 32UL * 1024;
+
 /// @brief One request to send.
 struct HttpCall {
   std::string address;  ///< IP:port
@@ -25,6 +28,9 @@
   bool fresh_connection = false;
   /// Accepts an answer without a length, which ends with its connection.
   bool accept_unframed = false;
+  /// Called on the client's thread when the head of an answer has arrived whose
+  /// body is larger than `kLargeBodyBytes`; may be empty.
+  std::function<void()> on_large_body;
 };
 
 /// @brief Limits on the memory that answers take. A call that exceeds one ends
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -341,6 +341,12 @@
     call.connect_timeout = kConnectTimeout;
     call.fresh_connection = true;
     call.accept_unframed = true;
+    call.on_large_body = [this, attempt] {
+      asio::post(io_context_, [this, attempt] {
+        gateway_.OnLargeBody(attempt, Now());
+        ProcessEvents();
+      });
+    };
     client_.Start(
         attempt, std::move(call), [this, attempt](net::HttpCallResult result) {
           asio::post(io_context_, [this, attempt,
--- a/test/bambootack/gateway/gateway_test.cc
+++ b/test/bambootack/gateway/gateway_test.cc
@@ -76,6 +76,25 @@
   BOOST_TEST(Status() == 502);
 }
 
+// Guards against a download that is given up and started at another server
+// while its body arrives on a slow link, which also ejects a healthy server.
+BOOST_AUTO_TEST_CASE(the_time_limit_of_an_attempt_restarts_with_a_large_body) {
+  Configure();
+  SendRequest(1, "/read/1");
+  now += milliseconds(10);
+  ServeAttempt(attempts[0].id, "1");
+  SendRequest(2, "/read/2");
+  BOOST_TEST_REQUIRE(attempts.size() == 1U);
+  const std::uint64_t first = attempts[0].id;
+  Advance(milliseconds(250));
+  gateway.OnLargeBody(first, now);
+  Advance(milliseconds(290));
+  BOOST_TEST(attempts.empty());
+  Advance(milliseconds(20));
+  BOOST_TEST(attempts.size() == 1U);
+  BOOST_TEST(cancelled.size() == 1U);
+}
+
 // Guards against a last attempt at a probing server, which most often loses it:
 // with this fault, reads failed twice as often as bookings.
 BOOST_AUTO_TEST_CASE(the_last_attempt_of_a_read_goes_to_a_healthy_server) {
--- a/test/bambootack/net/http_client_test.cc
+++ b/test/bambootack/net/http_client_test.cc
@@ -104,6 +104,31 @@
 }
 
 // Guards against a trailer that is taken for a header, such as a refusal.
+BOOST_AUTO_TEST_CASE(the_start_of_a_large_body_is_reported_before_its_end) {
+  for (const std::size_t bytes :
+       {net::kLargeBodyBytes, net::kLargeBodyBytes + 1}) {
+    std::promise<void> reported;
+    RawServer server([&](RawServer::Socket& socket, int) {
+      server.ReadRequest(socket);
+      RawServer::Write(socket, kOk + "Content-Length: " +
+                                   std::to_string(bytes) + "\r\n\r\n");
+      if (bytes > net::kLargeBodyBytes) {
+        reported.get_future().wait();
+      }
+      RawServer::Write(socket, std::string(bytes, 'b'));
+    });
+    net::HttpClient client(2 * net::kLargeBodyBytes);
+    net::HttpCall call{server.Address(), {"GET", "/", {}, {}}, kLong};
+    bool called = false;
+    call.on_large_body = [&] {
+      called = true;
+      reported.set_value();
+    };
+    BOOST_TEST((Run(client, std::move(call)).end == AttemptEnd::kAnswered));
+    BOOST_TEST(called == (bytes > net::kLargeBodyBytes));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(trailers_are_not_headers) {
   net::HttpClient client(kMaxBody);
   RawServer server([&](RawServer::Socket& socket, int) {
