--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -1,9 +1,15 @@
 #include "soak/faults.h"
 
+#include <fmt/format.h>
 #include <signal.h>
 
 #include <array>
 #include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 namespace soak {
 namespace {
@@ -96,6 +102,43 @@
   }
 }
 
+/// Entries of another writer, as a valid one with one odd field.
+std::string ForgedServer(const std::string& field, const std::string& value) {
+  std::map<std::string, std::string> fields{{"service", R"("desk")"},
+                                            {"address", R"("127.0.0.1:9")"},
+                                            {"zone", R"("a")"},
+                                            {"slots", "4"},
+                                            {"state", R"("ready")"},
+                                            {"warmupLeftMs", "0"},
+                                            {"seq", "1"},
+                                            {"born", "1700000000000"}};
+  fields[field] = value;
+  std::string text;
+  for (const auto& [name, it] : fields) {
+    text += fmt::format("{}\"{}\":{}", text.empty() ? "{" : ",", name, it);
+  }
+  return text + "}";
+}
+
+void ForgeEntries(World& world) {
+  constexpr std::size_t kDepth = 20'000;
+  constexpr std::string_view kTopic = "keyed.servers";
+  const std::vector<std::pair<std::string, std::string>> entries{
+      {"forged", R"({"service":7,"state":"odd"})"},
+      {"unreadable", "\x01\x02{"},
+      {"0-key-\xc3\x28", "{}"},
+      {"0-nested", ForgedServer("zone", std::string(kDepth, '[') +
+                                            std::string(kDepth, ']'))},
+      {"0-large-number", ForgedServer("slots", "1e400")},
+      {"0-large-start", ForgedServer("born", "9007199254740991")},
+      {"0-port", ForgedServer("address", R"("127.0.0.1:65536")")},
+      {"0-long",
+       ForgedServer("service", "\"" + std::string(200'000, 's') + "\"")}};
+  const auto& [key, value] = entries[world.random.Below(entries.size())];
+  world.store.Put(std::string(kTopic), key, value);
+  world.store.Put("keyed.fleet", "member/::1:80", "a");
+}
+
 constexpr std::array kKinds{
     FaultKind{"kill",
               [](World& it) { it.Kill(AnyVm(it), Between(it, 100, 3000)); }},
@@ -184,12 +227,7 @@
                              Between(it, 500, 3000));
               }},
     FaultKind{"store-forgets", [](World& it) { it.store.ForgetHistory(); }},
-    FaultKind{"store-forged",
-              [](World& it) {
-                it.store.Put("keyed.servers", "forged",
-                             R"({"service":7,"state":"odd"})");
-                it.store.Put("keyed.servers", "unreadable", "\x01\x02{");
-              }},
+    FaultKind{"store-forged", &ForgeEntries},
     FaultKind{"config-change", [](World& it) { it.ChangeConfig(); }},
     FaultKind{"config-storm", &ConfigStorm},
 };
