--- a/test/platform/odd_entries_test.cc
+++ b/test/platform/odd_entries_test.cc
@@ -38,7 +38,7 @@
       "",
       "null",
       "[]",
-      "\xff\xfe\x00\x01",
+      "\xff\xfe\x01{",
       Nested(100'000, '[', ']'),
       Replace(kServer, "\"v1\"", Nested(50'000, '[', ']')),
       std::string(1'000'000, 'x'),
