--- a/src/bambootack/core/address.cc
+++ b/src/bambootack/core/address.cc
@@ -30,19 +30,13 @@
 bool IsAddress(const std::string& text) {
   const auto host = HostOf(text);
   std::error_code ec;
-  if (host) {
-    asio::ip::make_address(*host, ec);
-  }
-  return host && !ec;
+  return host && (asio::ip::make_address(*host, ec), !ec);
 }
 
 bool IsIpv4Address(const std::string& text) {
   const auto host = HostOf(text);
   std::error_code ec;
-  if (host) {
-    asio::ip::make_address_v4(*host, ec);
-  }
-  return host && !ec;
+  return host && (asio::ip::make_address_v4(*host, ec), !ec);
 }
 
 }  // namespace bambootack::core
--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -180,17 +180,24 @@
 /// An answer of unknown outcome tells the caller more than a closed connection.
 void Gateway::AnswerRemainingRequests(core::Time now) {
   while (!by_timer_.empty()) {
-    const core::Handle handle = by_timer_.begin()->second;
-    Request& request = *requests_.Find(handle);
-    const bool may_have_executed = request.possible_executions > 0;
-    CancelAttemptOf(request, AttemptOutcome::kCancelled, now);
-    Refuse(handle,
-           may_have_executed ? core::ErrorKind::kBackendTimeout
-                             : core::ErrorKind::kShuttingDown,
-           now);
+    EndWithoutAnswer(by_timer_.begin()->second, AttemptOutcome::kCancelled,
+                     core::ErrorKind::kShuttingDown, now);
   }
 }
 
+/// Ends a request for whose server there is no more time.
+/// @param outcome Outcome of its attempt in flight, if any.
+/// @param not_executed Error if no server may have executed the request.
+void Gateway::EndWithoutAnswer(core::Handle handle, AttemptOutcome outcome,
+                               core::ErrorKind not_executed, core::Time now) {
+  Request& request = *requests_.Find(handle);
+  const bool may_have_executed = request.possible_executions > 0;
+  CancelAttemptOf(request, outcome, now);
+  Refuse(handle,
+         may_have_executed ? core::ErrorKind::kBackendTimeout : not_executed,
+         now);
+}
+
 /// Whether an attempt that starts now is expected to end before the answers of
 /// a shutdown are due. Otherwise "not executed" is a better answer.
 bool Gateway::EndsBeforeExit(const Request& request, core::Time now) const {
@@ -208,12 +215,8 @@
     const core::Handle handle = by_timer_.begin()->second;
     Request& request = *requests_.Find(handle);
     if (now >= request.deadline) {
-      const bool may_have_executed = request.possible_executions > 0;
-      CancelAttemptOf(request, AttemptOutcome::kTimedOut, now);
-      Refuse(handle,
-             may_have_executed ? core::ErrorKind::kBackendTimeout
-                               : core::ErrorKind::kOverloaded,
-             now);
+      EndWithoutAnswer(handle, AttemptOutcome::kTimedOut,
+                       core::ErrorKind::kOverloaded, now);
     } else if (request.awaited_dispatcher &&
                now >= request.dispatcher_deadline) {
       peers_.MarkUnresponsive(*request.awaited_dispatcher, now);
--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -231,6 +231,8 @@
              core::Time now);
   void AdmitEarlyRequests(core::Time now);
   void AnswerRemainingRequests(core::Time now);
+  void EndWithoutAnswer(core::Handle handle, AttemptOutcome outcome,
+                        core::ErrorKind not_executed, core::Time now);
   [[nodiscard]] bool EndsBeforeExit(const Request& request,
                                     core::Time now) const;
 
@@ -255,6 +257,8 @@
       Request& request) const;
   [[nodiscard]] bool FindRoute(Request& request) const;
   [[nodiscard]] bool ApplyCurrentRoute(core::Handle handle, core::Time now);
+  void KeepAttemptOrRefuse(core::Handle handle, core::ErrorKind not_executed,
+                           core::Time now);
   [[nodiscard]] SlotRequirements RequirementsOf(const Request& request,
                                                 core::Time now) const;
   [[nodiscard]] bool TryNextGroup(core::Handle handle, core::Time now);
--- a/src/bambootack/gateway/gateway_attempts.cc
+++ b/src/bambootack/gateway/gateway_attempts.cc
@@ -127,15 +127,24 @@
     }
     return true;
   }
+  KeepAttemptOrRefuse(handle, core::ErrorKind::kNoRoute, now);
+  return false;
+}
+
+/// Continues with the attempt in flight, if any, and refuses the request
+/// otherwise.
+/// @param not_executed Error if no server may have executed the request.
+void Gateway::KeepAttemptOrRefuse(core::Handle handle,
+                                  core::ErrorKind not_executed,
+                                  core::Time now) {
+  Request& request = *requests_.Find(handle);
   if (request.attempt) {
     UpdateTimer(handle, request);
-  } else {
-    Refuse(handle,
-           request.possible_executions > 0 ? request.last_error
-                                           : core::ErrorKind::kNoRoute,
-           now);
+    return;
   }
-  return false;
+  Refuse(handle,
+         request.possible_executions > 0 ? request.last_error : not_executed,
+         now);
 }
 
 void Gateway::RequestSlot(core::Handle handle, core::Time now) {
@@ -144,14 +153,7 @@
   }
   Request& request = *requests_.Find(handle);
   if (!EndsBeforeExit(request, now)) {
-    if (request.attempt) {
-      UpdateTimer(handle, request);
-    } else {
-      Refuse(handle,
-             request.possible_executions > 0 ? request.last_error
-                                             : core::ErrorKind::kShuttingDown,
-             now);
-    }
+    KeepAttemptOrRefuse(handle, core::ErrorKind::kShuttingDown, now);
     return;
   }
   if (const auto pause = ShortestPause(request.service, now)) {
@@ -266,13 +268,9 @@
   Request& request = *requests_.Find(handle);
   if (slot) {
     StartAttemptInSlot(handle, *std::move(slot), granter, now);
-  } else if (request.attempt) {
-    UpdateTimer(handle, request);
-  } else if (!TryNextGroup(handle, now) && !WaitForCapacity(handle, now)) {
-    Refuse(handle,
-           request.possible_executions > 0 ? request.last_error
-                                           : core::ErrorKind::kOverloaded,
-           now);
+  } else if (request.attempt ||
+             (!TryNextGroup(handle, now) && !WaitForCapacity(handle, now))) {
+    KeepAttemptOrRefuse(handle, core::ErrorKind::kOverloaded, now);
   }
 }
 
--- a/test/platform/decode_test.cc
+++ b/test/platform/decode_test.cc
@@ -4,9 +4,13 @@
 #include <string>
 #include <vector>
 
+#include "platform/replace.h"
+
 namespace gateway = bambootack::gateway;
 namespace platform = bambootack::platform;
 
+using platform::Replace;
+
 namespace {
 
 constexpr const char* kConfig = R"({"version":"r12",
@@ -23,11 +27,6 @@
     R"({"service":"desk","address":"10.0.0.9:8080","zone":"west","version":"v1",)"
     R"("slots":3,"state":"ready","warmupLeftMs":250,"seq":4,"born":1700000000000})";
 
-std::string Replace(std::string text, const std::string& from,
-                    const std::string& to) {
-  return text.replace(text.find(from), from.size(), to);
-}
-
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(decode)
--- a/test/platform/fleet_limits_test.cc
+++ b/test/platform/fleet_limits_test.cc
@@ -4,8 +4,11 @@
 #include <string>
 #include <vector>
 
+#include "platform/replace.h"
+
 namespace platform = bambootack::platform;
 using platform::LimitProblem;
+using platform::Replace;
 using std::chrono::milliseconds;
 
 namespace {
@@ -19,11 +22,6 @@
     R"("retryBudgetRatio":0.3,"retryWindowS":20,"retryBudgetSlack":630,)"
     R"("recoveryS":15,"probesPerS":3,"floorShare":0.7})";
 
-std::string Replace(std::string text, const std::string& from,
-                    const std::string& to) {
-  return text.replace(text.find(from), from.size(), to);
-}
-
 /// "name:problem:value" of each notice.
 std::vector<std::string> NoticesOf(const std::string& text) {
   std::vector<std::string> result;
--- a/test/platform/odd_entries_test.cc
+++ b/test/platform/odd_entries_test.cc
@@ -1,6 +1,5 @@
 #include <fmt/format.h>
 #include <rapidcheck/boost_test.h>
-#include <sodium.h>
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -13,20 +12,20 @@
 #include "bambootack/gateway/log_text.h"
 #include "platform/decode.h"
 #include "platform/fleet_joiner.h"
+#include "platform/replace.h"
 #include "platform/store_client.h"
+#include "standin/common/encoding.h"
 
 namespace bambootack::platform {
 namespace {
 
+using standin::Base64;
+using standin::BigEndian;
+
 const std::string kServer =
     R"({"service":"desk","address":"10.0.0.9:8080","zone":"west","version":"v1",)"
     R"("slots":3,"state":"ready","warmupLeftMs":0,"seq":4,"born":1700000000000})";
 
-std::string Replace(std::string text, const std::string& from,
-                    const std::string& to) {
-  return text.replace(text.find(from), from.size(), to);
-}
-
 std::string Nested(std::size_t depth, char open, char close) {
   return std::string(depth, open) + std::string(depth, close);
 }
@@ -64,25 +63,6 @@
   return entries;
 }
 
-std::string Base64(const std::string& bytes) {
-  std::string out(
-      sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL),
-      '\0');
-  sodium_bin2base64(out.data(), out.size(),
-                    reinterpret_cast<const unsigned char*>(bytes.data()),
-                    bytes.size(), sodium_base64_VARIANT_ORIGINAL);
-  out.pop_back();  // The terminating zero.
-  return out;
-}
-
-std::string BigEndian(std::uint64_t value, int bytes) {
-  std::string out;
-  for (int i = bytes - 1; i >= 0; --i) {
-    out += static_cast<char>((value >> (8 * i)) & 0xFF);
-  }
-  return out;
-}
-
 std::string BinaryRecord(const std::string& key, const std::string& value) {
   const std::string content = static_cast<char>(key.size()) + key + value;
   return BigEndian(content.size(), 4) + content;
