--- a/test/bambootack/net/http_client_test.cc
+++ b/test/bambootack/net/http_client_test.cc
@@ -124,7 +124,8 @@
       called = true;
       reported.set_value();
     };
-    BOOST_TEST((Run(client, std::move(call)).end == AttemptEnd::kAnswered));
+    const net::HttpCallResult result = Run(client, std::move(call));
+    BOOST_TEST((result.end == AttemptEnd::kAnswered));
     BOOST_TEST(called == (bytes > net::kLargeBodyBytes));
   }
 }
--- a/test/soak/pipelined_caller.cc
+++ b/test/soak/pipelined_caller.cc
@@ -7,7 +7,6 @@
 namespace soak {
 namespace {
 
-using bambootack::net::HttpCallResult;
 using bambootack::node::AttemptEnd;
 namespace core = bambootack::core;
 
