--- a/test/bambootack/net/http_server_test.cc
+++ b/test/bambootack/net/http_server_test.cc
@@ -83,6 +83,10 @@
     return WaitFor(gone_, count);
   }
 
+  [[nodiscard]] std::size_t UnsentCount() const {
+    return server_.UnsentCount();
+  }
+
   void Answer(core::CallerId caller, const std::string& body, bool close) {
     core::HttpAnswer answer{200, {}, body};
     if (close) {
@@ -382,6 +386,21 @@
   BOOST_TEST(server.WaitForRequests(2).size() == 2U);
 }
 
+// Guards against a planned stop that waits for an answer whose caller hung up
+// before it could be sent.
+BOOST_AUTO_TEST_CASE(answers_of_a_closed_connection_are_not_counted_as_unsent) {
+  ManualServer server;
+  RawClient client = server.Connect();
+  client.Send(Get("/0") + Get("/1"));
+  const auto read = server.WaitForRequests(2);
+  BOOST_TEST_REQUIRE(read.size() == 2U);
+  server.Answer(read[1].first, "waits for the first one", false);
+  BOOST_TEST(server.UnsentCount() == 1U);
+  client.Close();
+  BOOST_TEST_REQUIRE(server.WaitForGone(1).size() == 1U);
+  BOOST_TEST(server.UnsentCount() == 0U);
+}
+
 // Guards against work that goes on for the requests of a caller that has hung
 // up with several in flight.
 BOOST_AUTO_TEST_CASE(
