Soak: a path that has dropped bytes stays silent

The gateway's log shows its answers in order. Change: a direction of a connection that has dropped bytes drops all later ones. Ruled out: answers out of order by the gateway (its log; the test over real sockets).

--- a/test/soak/fault_proxy.cc
+++ b/test/soak/fault_proxy.cc
@@ -29,6 +29,7 @@
   tcp::socket caller;
   tcp::socket target;
   std::array<std::array<char, kBufferBytes>, 2> buffers{};
+  std::array<bool, 2> silent{};  ///< Bytes have been dropped.
   std::array<asio::steady_timer, 2> timers;
 
   void Reset() {
@@ -113,7 +114,11 @@
 
 void FaultProxy::Pass(const std::shared_ptr<Link>& link, bool to_target,
                       std::size_t n) {
-  if (to_target ? faults_.drop_requests : faults_.drop_answers) {
+  // TCP delivers no bytes behind a gap: once bytes have vanished, the direction
+  // stays silent.
+  bool& silent = link->silent[to_target ? 1 : 0];
+  silent = silent || (to_target ? faults_.drop_requests : faults_.drop_answers);
+  if (silent) {
     Pump(link, to_target);
     return;
   }
