--- a/test/platform/odd_entries_test.cc
+++ b/test/platform/odd_entries_test.cc
@@ -197,6 +197,7 @@
                       {"member/[::1]:80", "west"},
                       {"member/10.0.0.1:65536", "west"},
                       {"member/10.0.0.2:7000", std::string(100'000, 'w')},
+                      {"member/10.0.0.4:7000", ""},
                       {"member/10.0.0.3:7000", "west"}})},
       now, random);
   BOOST_TEST(join.Members().size() == 1U);
