--- a/review/common/fleet.h
+++ b/review/common/fleet.h
@@ -9,7 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
-#include <sys/resource.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -40,6 +40,7 @@
 using std::chrono::milliseconds;
 
 inline const Clock::time_point kStart = Clock::now();
+inline const unsigned kNoEarlierAlarm = alarm(118);  // Scripts take 120 s.
 inline double Seconds() {
   return std::chrono::duration<double>(Clock::now() - kStart).count();
 }
@@ -402,6 +403,7 @@
     const std::string log = folder_ + "/" + ip_ + ".log";
     pid_ = fork();
     if (pid_ == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);  // Ends with the script.
       const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(fd, 1);
       dup2(fd, 2);
