--- a/review/1/main.cc
+++ b/review/1/main.cc
@@ -15,8 +15,8 @@
 constexpr int kGateways = 4;
 constexpr int kServiceCount = 3;
 constexpr int kBackendsOfService = 4;
-constexpr double kDrainS = 2.0;  // drainMs of SYSTEM.md.
-constexpr int kRestartMs = 500;  // The platform restarts after a delay.
+constexpr double kDrainS = 2.0;     // drainMs of SYSTEM.md.
+constexpr int kRestartMs = 500;     // The platform restarts after a delay.
 constexpr double kServesOnS = 5.0;  // A backend that leaves serves on so long.
 const char* const kServices[] = {"desk", "pay", "list"};
 
@@ -74,9 +74,9 @@
   }
   std::vector<std::unique_ptr<Gateway>> gateways;
   for (int i = 0; i < kGateways; ++i) {
-    gateways.push_back(std::make_unique<Gateway>(
-        root, folder, net + std::to_string(10 + i), "colombo",
-        store_addresses[i]));
+    gateways.push_back(
+        std::make_unique<Gateway>(root, folder, net + std::to_string(10 + i),
+                                  "colombo", store_addresses[i]));
     gateways.back()->Start(true);
   }
   for (const auto& it : gateways) {
@@ -117,14 +117,15 @@
           connection.Write(
               k % kServiceCount == 2
                   ? Request("GET", "/list/" + id, id, 3000)
-                  : Request("POST", (k % kServiceCount ? "/pay/" : "/book/") +
-                                        id, id, 3000, "visit"));
+                  : Request("POST",
+                            (k % kServiceCount ? "/pay/" : "/book/") + id, id,
+                            3000, "visit"));
           Message answer;
           const auto result = connection.Read(answer, 4000);
           const bool whole = result == Connection::Result::kMessage;
           record.Line("client " + id + " gets " +
                       (whole ? answer.first : "no answer"));
-          whole && answer.Status() == 200 ? ++served : ++failed;
+          whole&& answer.Status() == 200 ? ++served : ++failed;
           if (!whole) connection.Close();
           SleepMs(60);
         }
--- a/review/2/main.cc
+++ b/review/2/main.cc
@@ -50,14 +50,13 @@
                                      const Message& request,
                                      const std::string&) {
       const std::string id = request.Get("x-attempt-id");
-      const bool spoil = trouble && i < kSpoilers &&
-                         ++counts[i] % kSpoiledOneOf == 0;
+      const bool spoil =
+          trouble && i < kSpoilers && ++counts[i] % kSpoiledOneOf == 0;
       const std::string length = std::to_string(kBodyBytes);
-      connection.Write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id +
-                       "\r\nX-Response-Signature: sig-" + id +
-                       "\r\nContent-Length: " +
-                       (spoil ? std::string("6x0") : length) + "\r\n\r\n" +
-                       BodyOf(id));
+      connection.Write(
+          "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id +
+          "\r\nX-Response-Signature: sig-" + id + "\r\nContent-Length: " +
+          (spoil ? std::string("6x0") : length) + "\r\n\r\n" + BodyOf(id));
       spoiled += spoil ? 1 : 0;
       if (spoil) record.Line("i-" + std::to_string(i) + " spoils " + id);
       return spoil;
@@ -67,9 +66,9 @@
   }
   std::vector<std::unique_ptr<Gateway>> gateways;
   for (int i = 0; i < kGateways; ++i) {
-    gateways.push_back(std::make_unique<Gateway>(
-        root, folder, net + std::to_string(10 + i), "colombo",
-        store_addresses[i]));
+    gateways.push_back(
+        std::make_unique<Gateway>(root, folder, net + std::to_string(10 + i),
+                                  "colombo", store_addresses[i]));
     gateways.back()->Start(true);
   }
   for (const auto& it : gateways) {
@@ -92,7 +91,8 @@
           SleepMs(100);
           continue;
         }
-        const std::string id = "b" + std::to_string(i) + "-" + std::to_string(n);
+        const std::string id =
+            "b" + std::to_string(i) + "-" + std::to_string(n);
         record.Line("send " + id);
         connection.Write(Request("POST", "/book/" + id, id, 3000, "visit"));
         Message answer;
--- a/review/common/fleet.h
+++ b/review/common/fleet.h
@@ -70,7 +70,7 @@
 }
 
 struct Message {
-  std::string first;  // Request or status line.
+  std::string first;                                // Request or status line.
   std::multimap<std::string, std::string> headers;  // Lower-case names.
   std::string body;
   std::string Get(const std::string& name) const {
@@ -86,8 +86,8 @@
   const auto colon = text.find(':');
   sockaddr_in address{};
   address.sin_family = AF_INET;
-  address.sin_port = htons(
-      static_cast<std::uint16_t>(std::atoi(text.c_str() + colon + 1)));
+  address.sin_port =
+      htons(static_cast<std::uint16_t>(std::atoi(text.c_str() + colon + 1)));
   if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) !=
           1 ||
       (ntohl(address.sin_addr.s_addr) >> 24) != 127) {
@@ -142,8 +142,9 @@
     const auto until = Clock::now() + milliseconds(timeout_ms);
     for (;;) {
       if (Parse(message)) return Result::kMessage;
-      const auto left = std::chrono::duration_cast<milliseconds>(
-                            until - Clock::now()).count();
+      const auto left =
+          std::chrono::duration_cast<milliseconds>(until - Clock::now())
+              .count();
       pollfd waiting{fd_, POLLIN, 0};
       if (left <= 0 || poll(&waiting, 1, static_cast<int>(left)) <= 0) {
         return Result::kTimeout;
@@ -180,8 +181,8 @@
           Lower(line.substr(0, colon)),
           from == std::string::npos ? "" : line.substr(from));
     }
-    const std::size_t length =
-        static_cast<std::size_t>(std::atoll(result.Get("content-length").c_str()));
+    const std::size_t length = static_cast<std::size_t>(
+        std::atoll(result.Get("content-length").c_str()));
     if (buffer_.size() < end + 4 + length) return false;
     result.body = buffer_.substr(end + 4, length);
     buffer_.erase(0, end + 4 + length);
@@ -273,9 +274,9 @@
     const auto at = target.find(name + "=");
     return at == std::string::npos
                ? ""
-               : target.substr(at + name.size() + 1,
-                               target.find_first_of("& ", at) - at -
-                                   name.size() - 1);
+               : target.substr(
+                     at + name.size() + 1,
+                     target.find_first_of("& ", at) - at - name.size() - 1);
   }
   static std::string BigEndian(std::uint64_t value, int bytes) {
     std::string out;
@@ -289,8 +290,8 @@
     for (std::size_t i = 0; i < in.size(); i += 3) {
       std::uint32_t n = 0;
       for (std::size_t j = 0; j < 3; ++j) {
-        n = n << 8 | (i + j < in.size() ? static_cast<unsigned char>(in[i + j])
-                                        : 0U);
+        n = n << 8 |
+            (i + j < in.size() ? static_cast<unsigned char>(in[i + j]) : 0U);
       }
       for (std::size_t j = 0; j < 4; ++j) {
         out += i + j <= in.size() ? kDigits[n >> (18 - 6 * j) & 63] : '=';
@@ -328,9 +329,9 @@
                    "\",\"value\":\"" + Base64(it.first) +
                    "\",\"offset\":" + std::to_string(it.second) + "}";
         }
-        const std::string body =
-            "{\"items\":[" + items + "],\"hasMore\":false,\"end\":" +
-            std::to_string(topic.records.size()) + "}";
+        const std::string body = "{\"items\":[" + items +
+                                 "],\"hasMore\":false,\"end\":" +
+                                 std::to_string(topic.records.size()) + "}";
         lock.unlock();
         connection.Write(Response(200, json, body));
       } else if (target.starts_with("/bambootack/log-read")) {
@@ -339,8 +340,7 @@
         changed_.wait_for(
             lock, milliseconds(std::atoi(Query(target, "waitMs").c_str())),
             [&] { return topic.records.size() > from; });
-        std::string body =
-            BigEndian(topic.records.size(), 8) + BigEndian(0, 8);
+        std::string body = BigEndian(topic.records.size(), 8) + BigEndian(0, 8);
         for (std::uint64_t i = from; i < topic.records.size(); ++i) {
           body += BigEndian(topic.records[i].size(), 4) + topic.records[i];
         }
@@ -348,8 +348,8 @@
         connection.Write(Response(200, "", body));
       } else if (target.starts_with("/bambootack/log-append")) {
         const std::string as_of = Query(target, "asOf");
-        if (!as_of.empty() && std::strtoull(as_of.c_str(), nullptr, 10) !=
-                                  topic.records.size()) {
+        if (!as_of.empty() &&
+            std::strtoull(as_of.c_str(), nullptr, 10) != topic.records.size()) {
           const std::string body =
               "{\"end\":" + std::to_string(topic.records.size()) + "}";
           lock.unlock();
@@ -358,9 +358,10 @@
         }
         const std::uint64_t offset = Append(topic, request.body.substr(4));
         lock.unlock();
-        connection.Write(Response(
-            200, json, "{\"offset\":" + std::to_string(offset) +
-                           ",\"end\":" + std::to_string(offset + 1) + "}"));
+        connection.Write(Response(200, json,
+                                  "{\"offset\":" + std::to_string(offset) +
+                                      ",\"end\":" + std::to_string(offset + 1) +
+                                      "}"));
       } else {
         lock.unlock();
         connection.Write(Response(404, "", ""));
@@ -525,18 +526,19 @@
       const std::string expected = request.Get("x-expect-instance");
       const std::string load =
           std::string(leaving ? "Server-Leaving: 1\r\n" : "") +
-          "X-Backend-Load: " + std::to_string(at_work) +
-                               ",0," + std::to_string(options_.slots) + "\r\n";
+          "X-Backend-Load: " + std::to_string(at_work) + ",0," +
+          std::to_string(options_.slots) + "\r\n";
       const std::string echo = "X-Attempt-Id: " + id + "\r\n";
       if (!expected.empty() && expected != options_.id) {
-        connection->Write(Response(
-            421, echo + "X-Instance-Id: " + options_.id + "\r\n", ""));
+        connection->Write(
+            Response(421, echo + "X-Instance-Id: " + options_.id + "\r\n", ""));
         continue;
       }
       std::unique_lock lock(mutex_);
       if (at_work >= options_.slots && queued_ >= 16) {
         lock.unlock();
-        connection->Write(Response(503, echo + load + "X-Not-Executed: 1\r\n", ""));
+        connection->Write(
+            Response(503, echo + load + "X-Not-Executed: 1\r\n", ""));
         continue;
       }
       ++queued_;
@@ -588,9 +590,12 @@
          "[\"r-list\",\"desk.example\",\"/list/\",\"safe\",5000,600,1,"
          "\"list\",2,null]]},"
          "\"services\":{\"columns\":[\"name\",\"healthPath\",\"maxConns\","
-         "\"protocol\",\"tls\"],\"rows\":[[\"desk\",\"/health\",477,\"h1\",false],"
+         "\"protocol\",\"tls\"],\"rows\":[[\"desk\",\"/"
+         "health\",477,\"h1\",false],"
          "[\"pay\",\"/health\",477,\"h1\",false],"
-         "[\"list\",\"/health\",477,\"h1\",false]]},\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":"
+         "[\"list\",\"/"
+         "health\",477,\"h1\",false]]},\"limits\":{\"maxHeaderBytes\":16384,"
+         "\"maxBodyBytes\":"
          "67108864,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
 }
 
@@ -600,9 +605,9 @@
   return method + " " + path + " HTTP/1.1\r\nHost: desk.example\r\n" +
          "X-Attempt-Id: " + id +
          "\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n" +
-         (method == "GET" ? std::string()
-                          : "Content-Length: " + std::to_string(body.size()) +
-                                "\r\n") +
+         (method == "GET"
+              ? std::string()
+              : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
          "\r\n" + body;
 }
 
