--- a/review/1/main.cc
+++ b/review/1/main.cc
@@ -5,7 +5,7 @@
 // must not send to it later than drainMs after the store has taken its removal.
 // The clients rest around the kill, so that no answer of the backend tells the
 // gateways what the store has told them.
-#include "../common/fleet.h"
+#include "../fleet.h"
 
 using namespace review;
 
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,7 +3,7 @@
 # TROUBLE=0 leaves the disruption out.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-program="$root/review/bin/case-$(basename "$here")"
+program="$here/driver"
 [ -x "$program" ] && [ -x "$root/target/bambootack-gateway" ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
--- a/review/2/main.cc
+++ b/review/2/main.cc
@@ -1,7 +1,7 @@
 // Half of the backends spoil one byte in 2 of 100 answers: a digit of the
 // Content-Length becomes a letter. Such bytes are no response, so a caller must
 // not get a success from them. Answers that are not spoiled stay as they are.
-#include "../common/fleet.h"
+#include "../fleet.h"
 
 using namespace review;
 
--- a/review/common/fleet.h
+++ b/review/fleet.h
@@ -1,8 +1,8 @@
 // Stand-ins of the platform's store, of backends and of clients, and the start
 // of gateways as processes with the command and the template of the deploy
 // files. Blocking sockets, one thread for each connection. Loopback only.
-#ifndef REVIEW_COMMON_FLEET_H_
-#define REVIEW_COMMON_FLEET_H_
+#ifndef REVIEW_FLEET_H_
+#define REVIEW_FLEET_H_
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -620,4 +620,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_COMMON_FLEET_H_
+#endif  // REVIEW_FLEET_H_
