State sync: a restarted VM passes on no history that it lacks

Cause: a VM that starts reads the newest record of each key and so never sees the removals before its start, but told its changes as complete from any offset that a peer asked for. A peer that had missed the removal moved its position past it, and its own reads of the store started there.

Change: a VM knows from which offset on it has all removals and answers only from there on; receivers treat an update with a later history as a gap, which they close from another peer or the store. On the same path: a VM that had read the servers but not yet the configuration added removed servers from an earlier state of a peer; and the first state of a peer now replaces a partial read.

Ruled out: lost updates (they leave a gap that is noticed) and deferred removals (the test's reader is away for 0.4 s only).

--- a/src/bambootack/gateway/messages.h
+++ b/src/bambootack/gateway/messages.h
@@ -66,7 +66,10 @@
 struct StateUpdate {
   std::uint64_t from = 0;      ///< Offset of the first change covered.
   std::uint64_t position = 0;  ///< Position up to which they are complete.
-  core::Duration age{};        ///< Time since the store confirmed `position`.
+  /// Removals before this offset may be missing, unless `from` is zero: then
+  /// `servers` has all servers, and only what it lacks was removed.
+  std::uint64_t history_start = 0;
+  core::Duration age{};  ///< Time since the store confirmed `position`.
   std::vector<ServerChange> servers;
   std::uint64_t config_version = 0;
   /// Set in an answer to a query with a lower `config_version`.
--- a/src/bambootack/gateway/server_registry.cc
+++ b/src/bambootack/gateway/server_registry.cc
@@ -17,7 +17,7 @@
 bool ServerRegistry::Apply(ServerRecord record, std::uint64_t offset,
                            core::Time now) {
   LatestChange& latest = latest_changes_[record.id];
-  if (latest.offset && offset <= *latest.offset) {
+  if (latest.offset ? offset <= *latest.offset : offset < complete_until_) {
     return false;
   }
   const bool older =
@@ -71,9 +71,15 @@
 
 bool ServerRegistry::Remove(std::string_view id, std::uint64_t offset,
                             core::Time now) {
+  LatestChange& latest = latest_changes_[std::string(id)];
+  if (latest.offset && *latest.offset > offset) {
+    return false;
+  }
   const auto it = servers_.find(id);
-  if (it == servers_.end() ||
-      latest_changes_.find(id)->second.offset > offset) {
+  if (it == servers_.end()) {
+    latest.offset = offset;
+    latest.removed = true;
+    latest.changed_at_offset = offset;
     return false;
   }
   if (now < defer_removals_until_) {
@@ -85,6 +91,26 @@
   return true;
 }
 
+std::vector<std::string> ServerRegistry::RemoveMissing(
+    const std::set<std::string, std::less<>>& ids, std::uint64_t position,
+    core::Time now) {
+  SetCompleteUntil(position);
+  std::vector<std::string> removed;
+  if (position == 0) {
+    return removed;
+  }
+  for (const auto& [id, it] : servers_) {
+    if (!ids.contains(id)) {
+      removed.push_back(id);
+    }
+  }
+  // The removals came before `position`; a report at `position` is later.
+  std::erase_if(removed, [&](const std::string& id) {
+    return !Remove(id, position - 1, now);
+  });
+  return removed;
+}
+
 bool ServerRegistry::ApplyChange(const ServerChange& change, core::Time now) {
   if (!change.removed) {
     return Apply(change.record, change.offset, now);
--- a/src/bambootack/gateway/server_registry.h
+++ b/src/bambootack/gateway/server_registry.h
@@ -1,9 +1,11 @@
 #ifndef BAMBOOTACK_GATEWAY_SERVER_REGISTRY_H_
 #define BAMBOOTACK_GATEWAY_SERVER_REGISTRY_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,9 +48,19 @@
   /// @brief Removes a server whose entry was removed or cannot be decoded.
   /// @param offset Offset of the removal in the topic.
   /// @return True if the server was removed now; false if it was unknown, a
-  /// newer change is known, or its removal is deferred.
+  /// newer change is known, or its removal is deferred. The removal of an
+  /// unknown server is kept for peers that know it.
   bool Remove(std::string_view id, std::uint64_t offset, core::Time now);
 
+  /// @brief Removes the servers that a complete list lacks.
+  /// @param ids Ids in the list.
+  /// @param position Offset up to which the list is complete; servers with a
+  /// later change stay.
+  /// @return Ids of the servers that were removed now.
+  std::vector<std::string> RemoveMissing(
+      const std::set<std::string, std::less<>>& ids, std::uint64_t position,
+      core::Time now);
+
   /// @brief Applies a change that a peer has sent.
   /// @return True if anything changed except the sequence number and remaining
   /// warm-up.
@@ -82,6 +94,12 @@
   /// removals.
   [[nodiscard]] std::optional<core::Time> NextTimer() const noexcept;
 
+  /// @brief Records that all servers up to an offset are known. An earlier
+  /// report of an unknown id is then of a server that was removed.
+  void SetCompleteUntil(std::uint64_t position) noexcept {
+    complete_until_ = std::max(complete_until_, position);
+  }
+
   /// @brief All servers by id.
   [[nodiscard]] const std::map<std::string, Registration, std::less<>>&
   Servers() const noexcept {
@@ -107,6 +125,7 @@
 
   std::map<std::string, Registration, std::less<>> servers_;
   std::map<std::string, LatestChange, std::less<>> latest_changes_;
+  std::uint64_t complete_until_ = 0;
   core::Time defer_removals_until_{};
 };
 
--- a/src/bambootack/gateway/state_sync.cc
+++ b/src/bambootack/gateway/state_sync.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <cstddef>
 #include <iterator>
+#include <set>
+#include <string>
+#include <utility>
 
 #include "bambootack/core/hash.h"
 
@@ -97,7 +100,7 @@
 
 void StateSync::RecordStoreRead(std::uint64_t position, core::Time confirmed,
                                 core::Time now) {
-  position_ = std::max(position_, position);
+  SetPosition(position);
   ConfirmState(self_, confirmed, now);
   UpdateBehindSince(now);
   if (IsStoreReader(now)) {
@@ -123,6 +126,25 @@
   }
 }
 
+void StateSync::SetPosition(std::uint64_t position) noexcept {
+  position_ = std::max(position_, position);
+  registry_.SetCompleteUntil(position_);
+}
+
+void StateSync::RecordFullRead(std::uint64_t end) noexcept {
+  if (!history_start_ || position_ < end) {
+    history_start_ = end;
+  }
+}
+
+/// Records that all removals in a part of the topic are known.
+void StateSync::ExtendHistory(std::uint64_t from,
+                              std::uint64_t position) noexcept {
+  if (!history_start_ || position >= *history_start_) {
+    history_start_ = std::min(from, history_start_.value_or(from));
+  }
+}
+
 void StateSync::UpdateConfig(const GatewayConfig& config, core::Time now) {
   config_ = config;
   UpdateBehindSince(now);
@@ -133,11 +155,15 @@
 
 StateUpdate StateSync::BuildUpdate(std::uint64_t from, core::Time now) const {
   StateUpdate update;
-  update.from = from;
+  update.history_start = history_start_.value_or(0);
+  const bool is_covered = from == 0 || from >= update.history_start;
+  update.from = is_covered ? from : position_;
   update.position = position_;
   update.age = std::chrono::duration_cast<core::Duration>(
       now - confirmed_at_.value_or(core::Time{}));
-  update.servers = registry_.ChangesSince(from, now);
+  if (is_covered) {
+    update.servers = registry_.ChangesSince(from, now);
+  }
   update.config_version = ConfigVersion();
   return update;
 }
@@ -182,21 +208,20 @@
 std::vector<ServerChange> StateSync::Receive(core::VmId from,
                                              const StateUpdate& update,
                                              core::Time now) {
-  std::vector<ServerChange> changed;
   highest_peer_position_ = std::max(highest_peer_position_, update.position);
   highest_peer_version_ =
       std::max(highest_peer_version_, update.config_version);
-  if (update.from > position_) {
+  const std::uint64_t complete_from =
+      std::max(update.from, update.history_start);
+  const bool is_first_state = position_ == 0 && update.from == 0;
+  if (complete_from > position_ && !is_first_state) {
     UpdateBehindSince(now);
     SendQuery(from, now);
-    return changed;
+    return {};
   }
-  for (const ServerChange& it : update.servers) {
-    if (registry_.ApplyChange(it, now)) {
-      changed.push_back(it);
-    }
-  }
-  position_ = std::max(position_, update.position);
+  std::vector<ServerChange> changed = ApplyServers(update, now);
+  ExtendHistory(complete_from, update.position);
+  SetPosition(update.position);
   const auto sender = peers_.Peers().find(from);
   if (sender != peers_.Peers().end() &&
       sender->second.failure_domain == failure_domain_) {
@@ -210,6 +235,31 @@
   return changed;
 }
 
+/// Applies the changes of an update that leaves no gap.
+std::vector<ServerChange> StateSync::ApplyServers(const StateUpdate& update,
+                                                  core::Time now) {
+  std::vector<ServerChange> changed;
+  std::set<std::string, std::less<>> ids;
+  for (const ServerChange& it : update.servers) {
+    if (registry_.ApplyChange(it, now)) {
+      changed.push_back(it);
+    }
+    if (!it.removed) {
+      ids.insert(it.record.id);
+    }
+  }
+  if (position_ == 0) {
+    // Servers of an own read that has not ended are older than the update.
+    for (std::string& id : registry_.RemoveMissing(ids, update.position, now)) {
+      ServerChange removal;
+      removal.record.id = std::move(id);
+      removal.removed = true;
+      changed.push_back(std::move(removal));
+    }
+  }
+  return changed;
+}
+
 void StateSync::Receive(core::VmId from, const StateQuery& query,
                         core::Time now) {
   if (!confirmed_at_) {
--- a/src/bambootack/gateway/state_sync.h
+++ b/src/bambootack/gateway/state_sync.h
@@ -80,6 +80,11 @@
   void RecordStoreRead(std::uint64_t position, core::Time confirmed,
                        core::Time now);
 
+  /// @brief Records a read of the newest record of each key. It lacks earlier
+  /// removals, which this VM can then not pass on to peers.
+  /// @param end Offset up to which the registry has all changes.
+  void RecordFullRead(std::uint64_t end) noexcept;
+
   /// @brief Sets the configuration in force, which is sent in answers to
   /// queries, and announces its version to the domain.
   void UpdateConfig(const GatewayConfig& config, core::Time now);
@@ -149,6 +154,10 @@
   void UpdateBehindSince(core::Time now);
   [[nodiscard]] StateUpdate BuildUpdate(std::uint64_t from,
                                         core::Time now) const;
+  [[nodiscard]] std::vector<ServerChange> ApplyServers(
+      const StateUpdate& update, core::Time now);
+  void SetPosition(std::uint64_t position) noexcept;
+  void ExtendHistory(std::uint64_t from, std::uint64_t position) noexcept;
   void SendUpdateToDomain(core::Time now);
   void RecordSentUpdate(const StateUpdate& update, std::size_t peers);
   void SendQuery(core::VmId vm, core::Time now);
@@ -159,6 +168,9 @@
   ServerRegistry& registry_;
   PeerDirectory& peers_;
   std::uint64_t position_ = 0;
+  /// Offset from which on all removals up to `position_` are known. Nothing
+  /// before the first state.
+  std::optional<std::uint64_t> history_start_;
   std::optional<core::Time> confirmed_at_;
   core::Time first_read_at_{};
   std::optional<GatewayConfig> config_;
--- a/test/bambootack/gateway/state_sync_test.cc
+++ b/test/bambootack/gateway/state_sync_test.cc
@@ -286,6 +286,67 @@
   }
 }
 
+// Guards against an answer that a VM gives after it has read the newest records
+// only: it lacks the removals before that, and the peer that asks for them
+// would never learn of them (review/1).
+BOOST_AUTO_TEST_CASE(a_vm_answers_no_query_from_before_its_history) {
+  Vm restarted(core::VmId{1}, "west");
+  restarted.sync.RecordFullRead(3);
+  restarted.sync.RecordStoreRead(3, now, now);
+  Vm member(core::VmId{2}, "west");
+  member.registry.Apply(Record("a", 1), 0, now);
+  member.sync.RecordStoreRead(1, now, now);
+  restarted.sync.Receive(core::VmId{2}, StateQuery{1, 0}, now);
+  for (auto& [to, message] : restarted.sync.TakeMessages()) {
+    member.sync.Receive(core::VmId{1}, std::get<StateUpdate>(message), now);
+  }
+  BOOST_TEST(member.sync.Position() == 1U);
+  // A VM without state starts from the servers that are left.
+  Vm started(core::VmId{3}, "west");
+  restarted.sync.Receive(core::VmId{3}, StateQuery{0, 0}, now);
+  for (auto& [to, message] : restarted.sync.TakeMessages()) {
+    started.sync.Receive(core::VmId{1}, std::get<StateUpdate>(message), now);
+  }
+  BOOST_TEST(started.sync.Position() == 3U);
+  // It does not know the earlier removals either.
+  started.sync.Receive(core::VmId{2}, StateQuery{1, 0}, now);
+  for (auto& [to, message] : started.sync.TakeMessages()) {
+    member.sync.Receive(core::VmId{3}, std::get<StateUpdate>(message), now);
+  }
+  BOOST_TEST(member.sync.Position() == 1U);
+}
+
+// Guards against a server that a VM, just started, has not found in the store
+// and then takes from an earlier state of a peer.
+BOOST_AUTO_TEST_CASE(an_earlier_state_of_a_peer_adds_no_removed_server) {
+  Vm started(core::VmId{1}, "west");
+  // The read of the configuration has not ended: the VM has no position.
+  started.registry.RemoveMissing({}, 3, now);
+  started.sync.RecordFullRead(3);
+  StateUpdate update;
+  update.position = 2;
+  update.servers.push_back({Record("a", 1), false, 1});
+  started.sync.Receive(core::VmId{2}, update, now);
+  BOOST_TEST(!started.registry.Servers().contains("a"));
+}
+
+// Guards against servers of an unfinished read of the store that stay in use
+// although the state of a peer is later and lacks them.
+BOOST_AUTO_TEST_CASE(the_first_state_of_a_peer_replaces_a_partial_read) {
+  Vm peer(core::VmId{1}, "west");
+  peer.registry.Apply(Record("b", 1), 7, now);
+  peer.sync.RecordFullRead(8);
+  peer.sync.RecordStoreRead(8, now, now);
+  Vm started(core::VmId{2}, "west");
+  started.registry.Apply(Record("a", 1), 2, now);
+  peer.sync.Receive(core::VmId{2}, StateQuery{0, 0}, now);
+  for (auto& [to, message] : peer.sync.TakeMessages()) {
+    started.sync.Receive(core::VmId{1}, std::get<StateUpdate>(message), now);
+  }
+  BOOST_TEST(!started.registry.Servers().contains("a"));
+  BOOST_TEST(started.registry.Servers().contains("b"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bambootack::gateway
--- a/test/platform/simulated_fleet.cc
+++ b/test/platform/simulated_fleet.cc
@@ -26,6 +26,10 @@
   return standin::QueryInteger(target, name).value_or(0);
 }
 
+std::string ServerId(std::size_t number) {
+  return fmt::format("i-{:010x}", number);
+}
+
 core::VmId IdOf(std::size_t vm) {
   return core::VmId{static_cast<std::uint32_t>(vm + 1)};
 }
@@ -190,6 +194,9 @@
 std::string SimulatedFleet::NewestPage(const Topic& topic) {
   std::string items;
   for (const auto& [key, offset] : topic.newest) {
+    if (!topic.records[offset].value) {
+      continue;
+    }
     items += fmt::format(R"({}{{"key":"{}","value":"{}","offset":{}}})",
                          items.empty() ? "" : ",", key,
                          Base64(*topic.records[offset].value), offset);
@@ -202,14 +209,15 @@
   std::string body = BigEndian(topic.records.size(), 8) + BigEndian(0, 8);
   for (std::size_t i = from; i < topic.records.size(); ++i) {
     const KeyedRecord& it = topic.records[i];
-    const std::string record = BigEndian(it.key.size(), 1) + it.key + *it.value;
+    const std::string record =
+        BigEndian(it.key.size(), 1) + it.key + it.value.value_or("");
     body += BigEndian(record.size(), 4) + record;
   }
   return body;
 }
 
 void SimulatedFleet::Append(const std::string& topic, std::string key,
-                            std::string value) {
+                            std::optional<std::string> value) {
   Topic& it = topics_[topic];
   it.newest[key] = it.records.size();
   it.records.push_back({std::move(key), std::move(value), it.records.size()});
@@ -232,7 +240,7 @@
 }
 
 void SimulatedFleet::ReportServer(std::size_t number, bool draining) {
-  Append("keyed.servers", fmt::format("i-{:010x}", number),
+  Append("keyed.servers", ServerId(number),
          fmt::format(R"({{"service":"desk","address":"10.2.{}.{}:8526",)"
                      R"("zone":"west","slots":3,"state":"{}",)"
                      R"("warmupLeftMs":0,"seq":{},"born":1700000000000}})",
@@ -240,6 +248,21 @@
                      draining ? "draining" : "ready", draining ? 2 : 1));
 }
 
+void SimulatedFleet::RemoveServer(std::size_t number) {
+  Append("keyed.servers", ServerId(number), std::nullopt);
+}
+
+std::vector<std::size_t> SimulatedFleet::VmsWithServer(
+    std::size_t number) const {
+  std::vector<std::size_t> result;
+  for (std::size_t i = 0; i < vms_.size(); ++i) {
+    if (vms_[i].gateway->Registry().Servers().contains(ServerId(number))) {
+      result.push_back(i);
+    }
+  }
+  return result;
+}
+
 std::uint64_t SimulatedFleet::Version(std::size_t vm) const {
   return vms_[vm].gateway->Routes().Version();
 }
--- a/test/platform/simulated_fleet.h
+++ b/test/platform/simulated_fleet.h
@@ -42,6 +42,13 @@
   /// @brief Appends a report of a server to the store.
   void ReportServer(std::size_t number, bool draining);
 
+  /// @brief Appends the removal of a server's entry to the store.
+  void RemoveServer(std::size_t number);
+
+  /// @brief VMs that have a server in their registry.
+  [[nodiscard]] std::vector<std::size_t> VmsWithServer(
+      std::size_t number) const;
+
   /// @brief Lets the store answer, or refuse all requests.
   void SetStoreAvailable(bool available) noexcept {
     store_available_ = available;
@@ -96,7 +103,8 @@
   void AnswerFromStore(const std::string& target, core::Time hold_until,
                        std::function<void(Answer)> on_answer);
   [[nodiscard]] core::Time PassLink(Vm& vm, std::size_t bytes);
-  void Append(const std::string& topic, std::string key, std::string value);
+  void Append(const std::string& topic, std::string key,
+              std::optional<std::string> value);
   [[nodiscard]] static std::string NewestPage(const Topic& topic);
   [[nodiscard]] static std::string ReadPage(const Topic& topic,
                                             std::uint64_t from);
