HTTP client: lengths of answers are digits, and chunked bodies are checked

Cause: IsFramed compared several lengths with one another and never checked that a length consists of digits; libcurl takes the digits that lead. The same leniency let through signs, lists, lengths beyond 63 bits, letters in chunk sizes and a second transfer coding.

Blanks after a value are no part of it.

Ruled out: a cut of the connection; spoiled answers arrived whole.

--- a/src/bambootack/net/http_client.cc
+++ b/src/bambootack/net/http_client.cc
@@ -11,6 +11,7 @@
 #include <charconv>
 #include <deque>
 #include <mutex>
+#include <optional>
 #include <string_view>
 #include <thread>
 #include <unordered_map>
@@ -18,6 +19,8 @@
 #include <variant>
 #include <vector>
 
+#include "bambootack/net/framing.h"
+
 namespace bambootack::net {
 namespace {
 
@@ -86,6 +89,8 @@
   bool oversized = false;        ///< Its framing exceeds the limits.
   bool sending = false;          ///< Bytes of the request may have been sent.
   bool headers_done = false;     ///< Further header lines are trailers.
+  /// Of a chunked body, once its head has been received.
+  std::optional<ChunkedBodyValidator> chunks;
 };
 
 /// Called before each sending of the request, which libcurl would repeat by
@@ -128,11 +133,14 @@
 }
 
 /// Called with all bytes received, before libcurl decodes them.
-int OnTrace(CURL* /*easy*/, curl_infotype type, char* /*data*/,
-            std::size_t size, void* user) {
+int OnTrace(CURL* /*easy*/, curl_infotype type, char* data, std::size_t size,
+            void* user) {
   auto* transfer = static_cast<Transfer*>(user);
   if (type == CURLINFO_DATA_IN) {
     transfer->framed_bytes += size;
+    if (transfer->chunks) {
+      transfer->chunks->Feed({data, size});
+    }
   }
   return 0;
 }
@@ -165,41 +173,36 @@
   while (value.starts_with(' ') || value.starts_with('\t')) {
     value.remove_prefix(1);
   }
+  while (value.ends_with(' ') || value.ends_with('\t')) {
+    value.remove_suffix(1);
+  }
   answer.headers.push_back(
       {std::string(line.substr(0, colon)), std::string(value)});
 }
 
 /// Tells whether the end of the body is certain. Answers that end with their
-/// connection may be truncated; two lengths, or a length with a transfer
-/// coding, may be read differently.
+/// connection may be truncated; malformed or contradictory fields may be read
+/// differently.
 bool IsFramed(const core::HttpAnswer& answer, const HttpCall& call) {
-  std::size_t lengths = 0;
-  bool agree = true;
-  const auto length = core::FindHeader(answer.headers, "Content-Length");
-  for (const core::HeaderField& it : answer.headers) {
-    if (boost::algorithm::iequals(it.name, "Content-Length")) {
-      ++lengths;
-      agree = agree && it.value == *length;
-    }
-  }
-  const auto coding = core::FindHeader(answer.headers, "Transfer-Encoding");
-  if (!agree || (coding && lengths > 0) ||
-      (coding && !boost::algorithm::iequals(*coding, "chunked"))) {
-    return false;
-  }
   const bool empty = call.http.method == "HEAD" ||
                      answer.status == kNoContent ||
                      answer.status == kNotModified;
-  return coding || lengths > 0 || empty || call.accept_unframed;
+  switch (FramingOf(answer.headers)) {
+    case BodyFraming::kInvalid:
+      return false;
+    case BodyFraming::kClose:
+      return empty || call.accept_unframed;
+    case BodyFraming::kLength:
+    case BodyFraming::kChunked:
+      return true;
+  }
+  return false;
 }
 
 bool HasLargeBody(const core::HttpAnswer& answer) {
-  const auto length = core::FindHeader(answer.headers, "Content-Length");
-  std::size_t bytes = 0;
-  if (length) {
-    std::from_chars(length->data(), length->data() + length->size(), bytes);
-  }
-  return bytes > kLargeBodyBytes;
+  const auto value = core::FindHeader(answer.headers, "Content-Length");
+  const auto length = value ? ParseContentLength(*value) : std::nullopt;
+  return length.value_or(0) > kLargeBodyBytes;
 }
 
 std::size_t OnHeader(char* data, std::size_t size, std::size_t count,
@@ -229,6 +232,9 @@
     if (!IsFramed(answer, transfer->call)) {
       return 0;
     }
+    if (FramingOf(answer.headers) == BodyFraming::kChunked) {
+      transfer->chunks.emplace();
+    }
     if (transfer->call.on_large_body && HasLargeBody(answer)) {
       transfer->call.on_large_body();
     }
@@ -237,6 +243,9 @@
 }
 
 node::AttemptEnd EndOf(CURLcode code, const Transfer& transfer) {
+  if (transfer.chunks && !transfer.chunks->IsValid()) {
+    return node::AttemptEnd::kInvalid;
+  }
   if (code == CURLE_OK) {
     // libcurl also reports success for a connection that closes in the head.
     return transfer.headers_done ? node::AttemptEnd::kAnswered
