State sync: removals are told at once, deferred or not

Cause: removals are deferred after an outage of the store. A VM told its position as complete without the removals that it deferred, and took its own cut for an outage.

Change: a removal is told at once, and each VM decides whether to keep the server for a while. Updates say since when the store has been available as far as the sender knows; a VM that was cut off ends its deferral by that, and queries peers while it does not know. On the same path, a report that ends a deferred removal is a change, since peers may have carried the removal out.

Ruled out: the history of restarted VMs; the test fails with that fix alone.

A check changed: "peers that are complete up to offset 23 are sent the removal" of entries_that_expired_in_an_outage_... described the late telling; a_deferred_removal_is_told_at_once demands that they have been told before.

--- a/src/bambootack/gateway/codec.cc
+++ b/src/bambootack/gateway/codec.cc
@@ -115,8 +115,8 @@
 
 template <typename A>
 void serialize(A& ar, StateUpdate& it) {
-  ar(it.from, it.position, it.history_start, it.age, it.servers,
-     it.config_version, it.config);
+  ar(it.from, it.position, it.history_start, it.age, it.available_for,
+     it.servers, it.config_version, it.config);
 }
 
 template <typename A>
--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -237,8 +237,7 @@
   }
   sync_.OnTimer(now, random_);
   pool_.ExpireLeases(now);
-  const std::vector<std::string> removed =
-      registry_.ApplyDueRemovals(sync_.Position(), now);
+  const std::vector<std::string> removed = registry_.ApplyDueRemovals(now);
   for (const std::string& it : removed) {
     Log(log::EventId::kServerChanged,
         fmt::format("server={} state=gone cause=not-back", it));
--- a/src/bambootack/gateway/messages.h
+++ b/src/bambootack/gateway/messages.h
@@ -70,6 +70,8 @@
   /// `servers` has all servers, and only what it lacks was removed.
   std::uint64_t history_start = 0;
   core::Duration age{};  ///< Time since the store confirmed `position`.
+  /// Time since which the store has been available as the sender knows.
+  core::Duration available_for{};
   std::vector<ServerChange> servers;
   std::uint64_t config_version = 0;
   /// Set in an answer to a query with a lower `config_version`.
--- a/src/bambootack/gateway/server_registry.cc
+++ b/src/bambootack/gateway/server_registry.cc
@@ -26,14 +26,15 @@
   if (older) {
     return false;
   }
-  latest = {record.started, record.sequence, offset,
-            false,          offset,          latest.leaving_start};
+  latest = {record.started, record.sequence, offset, false,
+            latest.leaving_start};
   record.draining =
       record.draining ||
       (latest.leaving_start && record.started <= *latest.leaving_start);
   RemovePreviousServersAt(record, offset);
+  // Peers may have carried out a removal that is deferred here.
   const auto found = servers_.find(record.id);
-  const bool changed = found == servers_.end() ||
+  const bool changed = found == servers_.end() || found->second.remove_at ||
                        !EqualsIgnoringSequence(found->second.record, record);
   Registration& it = servers_[record.id];
   it.warmup_end = now + record.warmup_left;
@@ -57,16 +58,15 @@
     }
   }
   for (const std::string& id : previous) {
-    Erase(id, offset);
+    SetRemoved(latest_changes_[id], offset);
+    servers_.erase(id);
   }
 }
 
-void ServerRegistry::Erase(std::string_view id, std::uint64_t offset) {
-  LatestChange& latest = latest_changes_.find(id)->second;
+void ServerRegistry::SetRemoved(LatestChange& latest,
+                                std::uint64_t offset) noexcept {
   latest.offset = std::max(latest.offset.value_or(0), offset);
   latest.removed = true;
-  latest.changed_at_offset = *latest.offset;
-  servers_.erase(servers_.find(id));
 }
 
 bool ServerRegistry::Remove(std::string_view id, std::uint64_t offset,
@@ -75,19 +75,16 @@
   if (latest.offset && *latest.offset > offset) {
     return false;
   }
+  SetRemoved(latest, offset);
   const auto it = servers_.find(id);
   if (it == servers_.end()) {
-    latest.offset = offset;
-    latest.removed = true;
-    latest.changed_at_offset = offset;
     return false;
   }
   if (now < defer_removals_until_) {
-    it->second.remove_at = defer_removals_until_;
-    it->second.offset = offset;
+    it->second.remove_at = it->second.remove_at.value_or(defer_removals_until_);
     return false;
   }
-  Erase(id, offset);
+  servers_.erase(it);
   return true;
 }
 
@@ -115,14 +112,7 @@
   if (!change.removed) {
     return Apply(change.record, change.offset, now);
   }
-  LatestChange& latest = latest_changes_[change.record.id];
-  if (latest.offset && change.offset <= *latest.offset) {
-    return false;
-  }
-  latest.offset = change.offset;
-  latest.removed = true;
-  latest.changed_at_offset = change.offset;
-  return servers_.erase(change.record.id) > 0;
+  return Remove(change.record.id, change.offset, now);
 }
 
 bool ServerRegistry::MarkLeaving(std::string_view id, std::int64_t started) {
@@ -150,7 +140,7 @@
     }
   }
   for (const auto& [id, it] : latest_changes_) {
-    if (it.removed && it.changed_at_offset >= offset) {
+    if (it.removed && it.offset >= offset) {
       ServerChange change;
       change.record.id = id;
       change.removed = true;
@@ -161,8 +151,16 @@
   return changes;
 }
 
-std::vector<std::string> ServerRegistry::ApplyDueRemovals(
-    std::uint64_t position, core::Time now) {
+void ServerRegistry::DeferRemovals(core::Time until) noexcept {
+  defer_removals_until_ = until;
+  for (auto& [id, it] : servers_) {
+    if (it.remove_at) {
+      it.remove_at = std::min(*it.remove_at, until);
+    }
+  }
+}
+
+std::vector<std::string> ServerRegistry::ApplyDueRemovals(core::Time now) {
   std::vector<std::string> due;
   for (const auto& [id, it] : servers_) {
     if (it.remove_at && *it.remove_at <= now) {
@@ -170,8 +168,7 @@
     }
   }
   for (const std::string& id : due) {
-    Erase(id, servers_.find(id)->second.offset);
-    latest_changes_.find(id)->second.changed_at_offset = position;
+    servers_.erase(id);
   }
   return due;
 }
--- a/src/bambootack/gateway/server_registry.h
+++ b/src/bambootack/gateway/server_registry.h
@@ -61,7 +61,8 @@
       const std::set<std::string, std::less<>>& ids, std::uint64_t position,
       core::Time now);
 
-  /// @brief Applies a change that a peer has sent.
+  /// @brief Applies a change that a peer has sent; a removal like one that was
+  /// read from the store.
   /// @return True if anything changed except the sequence number and remaining
   /// warm-up.
   bool ApplyChange(const ServerChange& change, core::Time now);
@@ -79,16 +80,15 @@
 
   /// @brief Defers removals that arrive before a time until that time, and
   /// drops those of servers that report again: their entries may have expired
-  /// while the store was unavailable.
-  void DeferRemovals(core::Time until) noexcept {
-    defer_removals_until_ = until;
-  }
+  /// while the store was unavailable. Peers are told of them all the same and
+  /// decide for themselves.
+  /// @param until End of the deferral. An earlier end than before also applies
+  /// to the removals that are deferred, a later one does not.
+  void DeferRemovals(core::Time until) noexcept;
 
   /// @brief Carries out deferred removals that are due.
-  /// @param position Offset up to which the registry is complete.
   /// @return Ids of the servers that were removed.
-  std::vector<std::string> ApplyDueRemovals(std::uint64_t position,
-                                            core::Time now);
+  std::vector<std::string> ApplyDueRemovals(core::Time now);
 
   /// @brief Next time to call `ApplyDueRemovals`, or nothing without deferred
   /// removals.
@@ -112,16 +112,14 @@
     std::int64_t started = 0;
     std::int64_t sequence = 0;
     std::optional<std::uint64_t> offset;
-    bool removed = false;
-    /// Peers whose state is complete only up to this offset need the change.
-    std::uint64_t changed_at_offset = 0;
+    bool removed = false;  ///< Also while the removal is deferred.
     /// Latest start that is known to be leaving.
     std::optional<std::int64_t> leaving_start;
   };
 
   void RemovePreviousServersAt(const ServerRecord& record,
                                std::uint64_t offset);
-  void Erase(std::string_view id, std::uint64_t offset);
+  static void SetRemoved(LatestChange& latest, std::uint64_t offset) noexcept;
 
   std::map<std::string, Registration, std::less<>> servers_;
   std::map<std::string, LatestChange, std::less<>> latest_changes_;
--- a/src/bambootack/gateway/state_sync.cc
+++ b/src/bambootack/gateway/state_sync.cc
@@ -16,6 +16,15 @@
 /// it sends one earlier.
 constexpr core::Duration kSkipTime = std::chrono::seconds(10);
 
+/// Registrations of servers expire after three missed reports, 4.5 s. If no VM
+/// could read the store for this long, servers may have been unable to report,
+/// so that an expired registration does not prove that its server was removed.
+constexpr core::Duration kMinExpiryOutage = std::chrono::milliseconds(2500);
+
+/// Running servers have renewed their expired registrations within this time
+/// after the store has become available again.
+constexpr core::Duration kReregistrationTime = std::chrono::milliseconds(2000);
+
 /// Minimum time between two queries.
 constexpr core::Duration kQueryInterval = std::chrono::milliseconds(250);
 
@@ -98,6 +107,33 @@
   }
 }
 
+/// Records that the store was available during a period. Evidence of peers may
+/// show that a gap was none, or ended earlier.
+void StateSync::RecordAvailability(core::Time since, core::Time until) {
+  if (!available_until_) {
+    available_since_ = since;
+    available_until_ = until;
+    return;
+  }
+  if (until + kMinExpiryOutage < *available_since_) {
+    return;  // From before the gap.
+  }
+  if (since > *available_until_ + kMinExpiryOutage) {
+    gap_start_ = available_until_;
+    available_since_ = since;
+    registry_.DeferRemovals(since + kReregistrationTime);
+  } else if (since < *available_since_) {
+    available_since_ = since;
+    if (gap_start_ && since <= *gap_start_ + kMinExpiryOutage) {
+      gap_start_.reset();
+      registry_.DeferRemovals({});
+    } else if (gap_start_) {
+      registry_.DeferRemovals(since + kReregistrationTime);
+    }
+  }
+  available_until_ = std::max(*available_until_, until);
+}
+
 void StateSync::RecordStoreRead(std::uint64_t position, core::Time confirmed,
                                 core::Time now) {
   SetPosition(position);
@@ -161,6 +197,8 @@
   update.position = position_;
   update.age = std::chrono::duration_cast<core::Duration>(
       now - confirmed_at_.value_or(core::Time{}));
+  update.available_for = std::chrono::duration_cast<core::Duration>(
+      now - available_since_.value_or(now));
   if (is_covered) {
     update.servers = registry_.ChangesSince(from, now);
   }
@@ -211,6 +249,7 @@
   highest_peer_position_ = std::max(highest_peer_position_, update.position);
   highest_peer_version_ =
       std::max(highest_peer_version_, update.config_version);
+  RecordAvailability(now - update.available_for, now - update.age);
   const std::uint64_t complete_from =
       std::max(update.from, update.history_start);
   const bool is_first_state = position_ == 0 && update.from == 0;
@@ -289,8 +328,11 @@
 }
 
 void StateSync::OnTimer(core::Time now, core::Random& random) {
+  if (gap_start_ && now >= *available_since_ + kReregistrationTime) {
+    gap_start_.reset();
+  }
   const bool current = confirmed_at_ && now < StaleAt();
-  if ((current && !behind_since_) || now < next_query_at_) {
+  if ((current && !behind_since_ && !gap_start_) || now < next_query_at_) {
     return;
   }
   const auto& peers = peers_.Peers();
@@ -303,7 +345,8 @@
 }
 
 core::Time StateSync::NextTimer() const {
-  const bool wait_for_staleness = confirmed_at_ && !behind_since_;
+  const bool wait_for_staleness =
+      confirmed_at_ && !behind_since_ && !gap_start_;
   return std::max(wait_for_staleness ? StaleAt() : core::Time{},
                   next_query_at_);
 }
--- a/src/bambootack/gateway/state_sync.h
+++ b/src/bambootack/gateway/state_sync.h
@@ -74,6 +74,11 @@
     return StoreReaderOfDomain(now) == self_;
   }
 
+  /// @brief Records that the store has answered, before the answer is applied.
+  /// Removals are deferred if no VM is known to have read it for long: entries
+  /// may have expired meanwhile.
+  void RecordStoreAvailable(core::Time now) { RecordAvailability(now, now); }
+
   /// @brief Records a successful read of the store.
   /// @param position Position in the topic of servers.
   /// @param confirmed When the read began.
@@ -104,7 +109,8 @@
   /// its budget is spent. The peer then queries another VM.
   void Receive(core::VmId from, const StateQuery& query, core::Time now);
 
-  /// @brief Queries a random peer if the state of this VM is stale or behind.
+  /// @brief Queries a random peer if the state of this VM is stale or behind,
+  /// or while removals are deferred.
   void OnTimer(core::Time now, core::Random& random);
 
   /// @brief Next time to call `OnTimer` and to check `ShouldReadStore`.
@@ -156,6 +162,7 @@
                                         core::Time now) const;
   [[nodiscard]] std::vector<ServerChange> ApplyServers(
       const StateUpdate& update, core::Time now);
+  void RecordAvailability(core::Time since, core::Time until);
   void SetPosition(std::uint64_t position) noexcept;
   void ExtendHistory(std::uint64_t from, std::uint64_t position) noexcept;
   void SendUpdateToDomain(core::Time now);
@@ -172,6 +179,14 @@
   /// before the first state.
   std::optional<std::uint64_t> history_start_;
   std::optional<core::Time> confirmed_at_;
+  /// The store was available from here on, without a gap in which entries may
+  /// have expired, up to `available_until_`. Both are unset before the first
+  /// state.
+  std::optional<core::Time> available_since_;
+  std::optional<core::Time> available_until_;
+  /// Start of the gap before `available_since_` while removals are deferred. If
+  /// only this VM was cut off, its peers know the store as available.
+  std::optional<core::Time> gap_start_;
   core::Time first_read_at_{};
   std::optional<GatewayConfig> config_;
   /// Position that the VMs of the domain have been sent, by this VM or by
--- a/test/bambootack/gateway/codec_test.cc
+++ b/test/bambootack/gateway/codec_test.cc
@@ -38,6 +38,8 @@
   requirements.excluded = {"a", "b"};
   requirements.fingerprint = 42;
   gateway::StateUpdate update;
+  update.history_start = 3;
+  update.available_for = std::chrono::milliseconds(4);
   update.from = 4;
   update.position = 9;
   update.age = milliseconds(20);
--- a/test/bambootack/gateway/server_registry_test.cc
+++ b/test/bambootack/gateway/server_registry_test.cc
@@ -86,14 +86,44 @@
   BOOST_TEST(registry.Servers().size() == 2U);
   registry.Apply(Record("a", 100, 2), 22,
                  store_available_at + milliseconds(900));
-  BOOST_TEST(
-      registry.ApplyDueRemovals(23, store_available_at + milliseconds(2000))
-          .size() == 1U);
+  BOOST_TEST(registry.ApplyDueRemovals(store_available_at + milliseconds(2000))
+                 .size() == 1U);
   BOOST_TEST(registry.Servers().contains("a"));
   BOOST_TEST(!registry.Servers().contains("b"));
-  // Peers that are complete up to offset 23 are sent the removal.
-  BOOST_TEST(registry.ChangesSince(23, store_available_at + milliseconds(2000))
-                 .size() == 1U);
+}
+
+// Guards against a deferred removal that peers learn of too late, or never:
+// what is told with a position must include it (review/4).
+BOOST_AUTO_TEST_CASE(a_deferred_removal_is_told_at_once) {
+  gateway::ServerRegistry registry;
+  registry.Apply(Record("a", 100, 1), 10, kStart);
+  registry.DeferRemovals(kStart + milliseconds(2000));
+  BOOST_TEST(!registry.Remove("a", 20, kStart));
+  BOOST_TEST(registry.Servers().contains("a"));
+  const auto changes = registry.ChangesSince(20, kStart);
+  BOOST_TEST_REQUIRE(changes.size() == 1U);
+  BOOST_TEST(changes.front().removed);
+  gateway::ServerRegistry peer;
+  peer.Apply(Record("a", 100, 1), 10, kStart);
+  BOOST_TEST(peer.ApplyChange(changes.front(), kStart));
+  // The server reports again just as before. The peer has it no more.
+  BOOST_TEST(registry.Apply(Record("a", 100, 2), 21, kStart));
+  const auto reports = registry.ChangesSince(21, kStart);
+  BOOST_TEST_REQUIRE(reports.size() == 1U);
+  BOOST_TEST(peer.ApplyChange(reports.front(), kStart));
+  BOOST_TEST(peer.Servers().contains("a"));
+}
+
+// Guards against an end of the outage that moves with each change.
+BOOST_AUTO_TEST_CASE(a_second_removal_does_not_prolong_the_first) {
+  gateway::ServerRegistry registry;
+  registry.Apply(Record("a", 100, 1), 10, kStart);
+  registry.DeferRemovals(kStart + milliseconds(2000));
+  registry.Remove("a", 20, kStart);
+  registry.DeferRemovals(kStart + milliseconds(3000));
+  registry.Remove("a", 21, kStart + milliseconds(1000));
+  BOOST_TEST(registry.ApplyDueRemovals(kStart + milliseconds(2000)).size() ==
+             1U);
 }
 
 // Guards against two servers at one address, of which one has terminated.
--- a/test/bambootack/gateway/state_sync_test.cc
+++ b/test/bambootack/gateway/state_sync_test.cc
@@ -266,6 +266,52 @@
   BOOST_TEST(vms[member]->registry.Servers().contains("c"));
 }
 
+// Guards against a VM that takes its own cut for an outage of the store and
+// keeps removed servers, and against one that takes a state from before an
+// outage for a sign that there was none (review/4).
+BOOST_AUTO_TEST_CASE(a_peer_that_read_the_store_meanwhile_ends_a_deferral) {
+  for (const milliseconds age : {milliseconds(100), milliseconds(4900)}) {
+    Vm vm(core::VmId{1}, "west");
+    vm.registry.Apply(Record("a", 1), 0, now);
+    vm.sync.RecordStoreAvailable(now);
+    vm.sync.RecordStoreRead(1, now, now);
+    const core::Time back = now + milliseconds(5000);
+    vm.sync.RecordStoreAvailable(back);
+    BOOST_TEST(!vm.registry.Remove("a", 1, back));
+    StateUpdate update;
+    update.position = 1;
+    update.age = age;
+    update.available_for = std::chrono::seconds(60);
+    vm.sync.Receive(core::VmId{2}, update, back);
+    const bool peer_read_the_store = age < milliseconds(1000);
+    BOOST_TEST(vm.registry.ApplyDueRemovals(back).empty() !=
+               peer_read_the_store);
+  }
+}
+
+// Guards against a VM that reads the store first after its cut and hears of no
+// peer that has read it: it asks for one.
+BOOST_AUTO_TEST_CASE(a_vm_that_defers_removals_queries_its_peers) {
+  Vm vm(core::VmId{1}, "west");
+  vm.peers.Add({core::VmId{2}, {}, "10.0.1.2:1", "east"});
+  vm.sync.RecordStoreAvailable(now);
+  vm.sync.RecordStoreRead(1, now, now);
+  vm.sync.OnTimer(now + milliseconds(1000), random);
+  BOOST_TEST(vm.sync.TakeMessages().empty());
+  now += milliseconds(5000);
+  vm.sync.RecordStoreAvailable(now);
+  vm.sync.RecordStoreRead(1, now, now);
+  static_cast<void>(vm.sync.TakeMessages());
+  BOOST_TEST((vm.sync.NextTimer() <= now));
+  vm.sync.OnTimer(now, random);
+  BOOST_TEST(vm.sync.TakeMessages().size() == 1U);
+  now += milliseconds(2000);
+  vm.sync.RecordStoreRead(1, now, now);
+  static_cast<void>(vm.sync.TakeMessages());
+  vm.sync.OnTimer(now, random);
+  BOOST_TEST(vm.sync.TakeMessages().empty());
+}
+
 // Guards against constants of one platform: a change may have to be in force
 // within one second, or within three.
 BOOST_AUTO_TEST_CASE(state_goes_stale_before_a_change_must_be_in_force) {
--- a/test/platform/simulated_fleet.cc
+++ b/test/platform/simulated_fleet.cc
@@ -131,7 +131,8 @@
   At(arrival, [this, vm, to, message = action.message,
                epoch = vms_[to].epoch]() mutable {
     Vm& it = vms_[to];
-    if (it.epoch == epoch && it.connected && vms_[vm].connected) {
+    if (it.epoch == epoch && it.connected && it.receives_from_peers &&
+        vms_[vm].connected) {
       it.gateway->OnMessage(IdOf(vm), std::move(message), now_);
       Process(to);
     }
--- a/test/platform/simulated_fleet.h
+++ b/test/platform/simulated_fleet.h
@@ -58,6 +58,11 @@
   /// it. Messages that arrive meanwhile are lost.
   void SetConnected(std::size_t vm, bool connected);
 
+  /// @brief Drops what peers send to a VM, or delivers it again.
+  void SetReceivesFromPeers(std::size_t vm, bool receives) {
+    vms_[vm].receives_from_peers = receives;
+  }
+
   /// @brief Replaces the process on a VM by a new one.
   void Restart(std::size_t vm);
 
@@ -71,6 +76,12 @@
   /// @brief Whether a VM takes itself for the store reader of the domain.
   [[nodiscard]] bool IsStoreReader(std::size_t vm) const;
 
+  /// @brief Time since the store confirmed the state of a VM.
+  [[nodiscard]] core::Duration StateAge(std::size_t vm) const {
+    return vms_[vm].gateway->Sync().StateAge(now_).value_or(
+        core::Duration::max());
+  }
+
   /// @brief Longest time that a message waited for the link of its VM since the
   /// last call.
   [[nodiscard]] core::Duration TakeLongestLinkWait() {
@@ -84,6 +95,7 @@
     core::Time link_free_at{};
     core::Time timer{};
     bool connected = true;
+    bool receives_from_peers = true;
     /// Counts starts; what was sent to an earlier one is lost.
     std::uint64_t epoch = 0;
   };
