Server registry: a server that registered again is passed on

A VM could lack a live server for good. Cause: a removal and the next report of a server reach a peer as one change, the report. If the report equals what the peer knew, the peer kept the old offset of the change and did not pass it on to a third VM that had carried out the removal.

Change: a change told by a peer sets the offset of the registration.

The new test failed before.

--- a/src/bambootack/gateway/server_registry.cc
+++ b/src/bambootack/gateway/server_registry.cc
@@ -109,10 +109,17 @@
 }
 
 bool ServerRegistry::ApplyChange(const ServerChange& change, core::Time now) {
-  if (!change.removed) {
-    return Apply(change.record, change.offset, now);
+  if (change.removed) {
+    return Remove(change.record.id, change.offset, now);
   }
-  return Remove(change.record.id, change.offset, now);
+  const bool changed = Apply(change.record, change.offset, now);
+  // The server may have been removed and have registered again since it was
+  // known here, so that others lack it even if its record is the same.
+  const auto it = servers_.find(change.record.id);
+  if (it != servers_.end()) {
+    it->second.offset = std::max(it->second.offset, change.offset);
+  }
+  return changed;
 }
 
 bool ServerRegistry::MarkLeaving(std::string_view id, std::int64_t started) {
--- a/test/bambootack/gateway/server_registry_test.cc
+++ b/test/bambootack/gateway/server_registry_test.cc
@@ -114,6 +114,26 @@
   BOOST_TEST(peer.Servers().contains("a"));
 }
 
+// Guards against a server that is lost at a VM: its removal and its next report
+// reach a peer as one change that looks like the state before, and the peer
+// does not pass it on (found by test/model).
+BOOST_AUTO_TEST_CASE(a_server_that_registered_again_is_passed_on) {
+  gateway::ServerRegistry reader;
+  reader.Apply(Record("a", 100, 1), 0, kStart);
+  gateway::ServerRegistry peer = reader;
+  gateway::ServerRegistry other = reader;
+  reader.Remove("a", 2, kStart);
+  other.Remove("a", 2, kStart);
+  reader.Apply(Record("a", 100, 2), 3, kStart);
+  for (const gateway::ServerChange& it : reader.ChangesSince(2, kStart)) {
+    peer.ApplyChange(it, kStart);
+  }
+  for (const gateway::ServerChange& it : peer.ChangesSince(3, kStart)) {
+    other.ApplyChange(it, kStart);
+  }
+  BOOST_TEST(other.Servers().contains("a"));
+}
+
 // Guards against an end of the outage that moves with each change.
 BOOST_AUTO_TEST_CASE(a_second_removal_does_not_prolong_the_first) {
   gateway::ServerRegistry registry;
