Server registry: a report from before a complete state restores no server

A restarted VM could use a removed server for good. Cause: it had read the store's newest records, which lack the server, and then got two delayed updates of a peer: a removal, which made the id known, and an earlier report that was outdated by a second removal which the VM never saw.

Change: a registry that is complete up to an offset ignores earlier reports of every server that it does not have, not only of ids that it never heard of.

The new test failed before.

--- a/src/bambootack/gateway/server_registry.cc
+++ b/src/bambootack/gateway/server_registry.cc
@@ -17,7 +17,11 @@
 bool ServerRegistry::Apply(ServerRecord record, std::uint64_t offset,
                            core::Time now) {
   LatestChange& latest = latest_changes_[record.id];
-  if (latest.offset ? offset <= *latest.offset : offset < complete_until_) {
+  const auto found = servers_.find(record.id);
+  const bool is_outdated =
+      (latest.offset && offset <= *latest.offset) ||
+      (found == servers_.end() && offset < complete_until_);
+  if (is_outdated) {
     return false;
   }
   const bool older =
@@ -33,7 +37,6 @@
       (latest.leaving_start && record.started <= *latest.leaving_start);
   RemovePreviousServersAt(record, offset);
   // Peers may have carried out a removal that is deferred here.
-  const auto found = servers_.find(record.id);
   const bool changed = found == servers_.end() || found->second.remove_at ||
                        !EqualsIgnoringSequence(found->second.record, record);
   Registration& it = servers_[record.id];
--- a/src/bambootack/gateway/server_registry.h
+++ b/src/bambootack/gateway/server_registry.h
@@ -95,7 +95,7 @@
   [[nodiscard]] std::optional<core::Time> NextTimer() const noexcept;
 
   /// @brief Records that all servers up to an offset are known. An earlier
-  /// report of an unknown id is then of a server that was removed.
+  /// report of another one is then outdated.
   void SetCompleteUntil(std::uint64_t position) noexcept {
     complete_until_ = std::max(complete_until_, position);
   }
--- a/test/bambootack/gateway/server_registry_test.cc
+++ b/test/bambootack/gateway/server_registry_test.cc
@@ -134,6 +134,17 @@
   BOOST_TEST(other.Servers().contains("a"));
 }
 
+// Guards against a delayed update that adds a server whose later removal lies
+// before the start of this VM's history (found by test/model).
+BOOST_AUTO_TEST_CASE(an_outdated_report_restores_no_removed_server) {
+  gateway::ServerRegistry registry;
+  registry.RemoveMissing({}, 5, kStart);
+  registry.Remove("a", 2, kStart);
+  BOOST_TEST(!registry.Apply(Record("a", 100, 2), 3, kStart));
+  BOOST_TEST(registry.Servers().empty());
+  BOOST_TEST(registry.Apply(Record("a", 100, 3), 5, kStart));
+}
+
 // Guards against an end of the outage that moves with each change.
 BOOST_AUTO_TEST_CASE(a_second_removal_does_not_prolong_the_first) {
   gateway::ServerRegistry registry;
