Server registry: servers are told with the offset of their latest report

A VM could lack a live server for good. Cause: a VM that read the newest records, after the store had deleted those that it missed, saw a server that had been removed and had registered again as unchanged, and told it with the offset of its earlier report. A peer that got the removal from a third VM, late, took it for the later one.

Change: the offset that is told is that of the latest report.

The new test failed before.

--- a/src/bambootack/gateway/server_registry.cc
+++ b/src/bambootack/gateway/server_registry.cc
@@ -143,7 +143,10 @@
   std::vector<ServerChange> changes;
   for (const auto& [id, it] : servers_) {
     if (it.offset >= offset && !it.remove_at) {
-      changes.push_back({it.record, false, it.offset});
+      // The latest report orders the record among removals, also if it changed
+      // nothing here.
+      changes.push_back(
+          {it.record, false, *latest_changes_.find(id)->second.offset});
       changes.back().record.warmup_left = std::max(
           core::Duration{},
           std::chrono::duration_cast<core::Duration>(it.warmup_end - now));
--- a/test/bambootack/gateway/server_registry_test.cc
+++ b/test/bambootack/gateway/server_registry_test.cc
@@ -145,6 +145,24 @@
   BOOST_TEST(registry.Apply(Record("a", 100, 3), 5, kStart));
 }
 
+// Guards against an earlier removal that takes a server out again at a peer: a
+// VM that reads the newest records sees no change, and told the server with the
+// offset of an earlier report (found by test/model).
+BOOST_AUTO_TEST_CASE(a_server_is_told_with_its_latest_report) {
+  gateway::ServerRegistry reader;
+  reader.Apply(Record("a", 100, 1), 0, kStart);
+  gateway::ServerRegistry removed = reader;
+  removed.Remove("a", 2, kStart);
+  reader.Apply(Record("a", 100, 2), 3, kStart);
+  gateway::ServerRegistry started;
+  for (const gateway::ServerRegistry* it : {&reader, &removed}) {
+    for (const gateway::ServerChange& change : it->ChangesSince(0, kStart)) {
+      started.ApplyChange(change, kStart);
+    }
+  }
+  BOOST_TEST(started.Servers().contains("a"));
+}
+
 // Guards against an end of the outage that moves with each change.
 BOOST_AUTO_TEST_CASE(a_second_removal_does_not_prolong_the_first) {
   gateway::ServerRegistry registry;
