Server registry: an entry of an unknown service takes no server out

A live server was out of use after another writer had left an entry with its address, a later start and a service that no configuration names. Cause: an address counted as that of the server that started last, whatever its service.

Change: only a server of a configured service takes an address over. The same is decided anew when the configuration changes.

Ruled out: leaving the rule out altogether; a server that starts again under a new id leaves an entry behind that lives up to 4.5 s.

Measured: the new test failed before.

--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -33,6 +33,7 @@
   Log(log::EventId::kConfigurationInForce,
       fmt::format("version={} before={} routes={}", config.version,
                   routes_->Version(), config.routes.size()));
+  registry_.SetServices({config.services.begin(), config.services.end()});
   routes_ = std::make_shared<const RouteTable>(std::move(config));
   sync_.UpdateConfig(routes_->Config(), now);
   pool_.Update(registry_, now);
--- a/src/bambootack/gateway/server_registry.cc
+++ b/src/bambootack/gateway/server_registry.cc
@@ -49,11 +49,25 @@
   return changed;
 }
 
+void ServerRegistry::SetServices(std::set<std::string, std::less<>> services) {
+  services_ = std::move(services);
+  std::vector<Registration> registrations;
+  for (const auto& [id, it] : servers_) {
+    registrations.push_back(it);
+  }
+  for (const Registration& it : registrations) {
+    RemovePreviousServersAt(it.record, it.offset);
+  }
+}
+
 /// An address belongs to the server that started last; a previous owner has
 /// terminated.
 void ServerRegistry::RemovePreviousServersAt(const ServerRecord& record,
                                              std::uint64_t offset) {
   std::vector<std::string> previous;
+  if (!services_.contains(record.service)) {
+    return;
+  }
   for (const auto& [id, it] : servers_) {
     if (id != record.id && it.record.address == record.address &&
         it.record.started < record.started) {
--- a/src/bambootack/gateway/server_registry.h
+++ b/src/bambootack/gateway/server_registry.h
@@ -67,6 +67,11 @@
   /// warm-up.
   bool ApplyChange(const ServerChange& change, core::Time now);
 
+  /// @brief Sets the services that the configuration names. An address belongs
+  /// to the server of one of them that started last; an entry of another
+  /// service, which may come from another writer, takes no server out.
+  void SetServices(std::set<std::string, std::less<>> services);
+
   /// @brief Records that a start of a server is leaving, as it has told a VM.
   /// It counts as draining from then on, whatever it reports to the store; a
   /// later start under the same id does not.
@@ -123,6 +128,7 @@
 
   std::map<std::string, Registration, std::less<>> servers_;
   std::map<std::string, LatestChange, std::less<>> latest_changes_;
+  std::set<std::string, std::less<>> services_;
   std::uint64_t complete_until_ = 0;
   core::Time defer_removals_until_{};
 };
--- a/test/bambootack/gateway/server_registry_test.cc
+++ b/test/bambootack/gateway/server_registry_test.cc
@@ -178,12 +178,34 @@
 // Guards against two servers at one address, of which one has terminated.
 BOOST_AUTO_TEST_CASE(an_address_belongs_to_the_latest_start) {
   gateway::ServerRegistry registry;
+  registry.SetServices({"desk"});
   registry.Apply(Record("a", 100, 1), 10, kStart);
   registry.Apply(Record("b", 200, 1), 11, kStart);
   BOOST_TEST(!registry.Servers().contains("a"));
   BOOST_TEST(registry.Servers().contains("b"));
 }
 
+// Guards against an entry of another writer that takes a server out of use: its
+// service is not configured, its start is later, its address that of the
+// server.
+BOOST_AUTO_TEST_CASE(an_entry_of_an_unknown_service_takes_no_server_out) {
+  gateway::ServerRecord other = Record("b", 200, 1);
+  other.service = "other";
+  for (const bool configured_first : {true, false}) {
+    gateway::ServerRegistry registry;
+    if (configured_first) {
+      registry.SetServices({"desk"});
+    }
+    registry.Apply(Record("a", 100, 1), 10, kStart);
+    registry.Apply(other, 11, kStart);
+    registry.SetServices({"desk"});
+    BOOST_TEST(registry.Servers().contains("a"));
+    // A configuration that names the service makes it an owner like others.
+    registry.SetServices({"desk", "other"});
+    BOOST_TEST(!registry.Servers().contains("a"));
+  }
+}
+
 // Guards against an update to peers for each report.
 BOOST_AUTO_TEST_CASE(a_new_sequence_alone_is_no_change) {
   gateway::ServerRegistry registry;
--- a/test/model/search.cc
+++ b/test/model/search.cc
@@ -17,6 +17,7 @@
 std::vector<Event> CoreEvents() {
   std::vector<Event> events{{EventKind::kRemove},
                             {EventKind::kReport},
+                            {EventKind::kOtherWriter},
                             {EventKind::kToggleStore},
                             {EventKind::kLongWait}};
   for (std::uint8_t a = 0; a < kVms; ++a) {
--- a/test/model/state_exchange.cc
+++ b/test/model/state_exchange.cc
@@ -40,11 +40,13 @@
 
 /// The offset is the sequence number, which tells of which report a state is.
 std::string ReportOf(std::size_t server, std::size_t offset) {
+  const bool other = server == StateExchange::kOtherEntry;
   return fmt::format(
-      R"({{"service":"desk","address":"10.2.0.{}:8526","zone":"west",)"
+      R"({{"service":"{}","address":"10.2.0.{}:8526","zone":"west",)"
       R"("slots":3,"state":"ready","warmupLeftMs":0,"seq":{},)"
-      R"("born":1700000000000}})",
-      server + 1, offset);
+      R"("born":{}}})",
+      other ? "other" : "desk", other ? 1 : server + 1, offset,
+      other ? 1700000001000 : 1700000000000);
 }
 
 const std::string& ConfigPage() {
@@ -68,6 +70,8 @@
       sync(VmIdOf(vm), DomainOf(vm, domains), kChangeTime, registry, peers),
       store(sync, registry,
             {[this](const gateway::GatewayConfig& config, core::Time now) {
+               registry.SetServices(
+                   {config.services.begin(), config.services.end()});
                sync.UpdateConfig(config, now);
              },
              [](core::Time) {}, [](log::EventId, const std::string&) {}}),
@@ -127,6 +131,9 @@
       }
       Append(subject, true);
       return true;
+    case EventKind::kOtherWriter:
+      Append(kOtherEntry, false);
+      return true;
     case EventKind::kRequest:
       return SendRequests(subject);
     case EventKind::kAnswer:
@@ -289,6 +296,8 @@
   if (const auto* update = std::get_if<gateway::StateUpdate>(&message)) {
     static_cast<void>(process.sync.Receive(VmIdOf(from), *update, now_));
     if (update->config) {
+      process.registry.SetServices(
+          {update->config->services.begin(), update->config->services.end()});
       process.sync.UpdateConfig(*update->config, now_);
     }
   } else if (const auto* query = std::get_if<gateway::StateQuery>(&message)) {
@@ -389,7 +398,7 @@
 
 std::optional<std::string> StateExchange::Disagreement() const {
   std::set<std::string> live;
-  for (std::size_t i = 0; i < kServers; ++i) {
+  for (std::size_t i = 0; i < kEntries; ++i) {
     if (IsLive(i)) {
       live.insert(IdOf(i));
     }
--- a/test/model/state_exchange.h
+++ b/test/model/state_exchange.h
@@ -27,6 +27,7 @@
 enum class EventKind : std::uint8_t {
   kReport,       ///< A server appends a report to the store.
   kRemove,       ///< The entry of a server is removed.
+  kOtherWriter,  ///< Another writer appends an entry with a server's address.
   kRequest,      ///< A VM sends its requests to the store.
   kAnswer,       ///< The answers of the store reach a VM.
   kRead,         ///< A VM sends its requests and gets the answers at once.
@@ -41,9 +42,9 @@
   kLongWait,     ///< Time passes: longer than entries need to expire.
 };
 
-inline constexpr core::EnumNames<EventKind, 14> kEventKindNames{
-    {"report", "remove", "request", "answer", "read", "deliver", "lose",
-     "toggle-cut", "restart", "toggle-pause", "expire", "toggle-store",
+inline constexpr core::EnumNames<EventKind, 15> kEventKindNames{
+    {"report", "remove", "other-writer", "request", "answer", "read", "deliver",
+     "lose", "toggle-cut", "restart", "toggle-pause", "expire", "toggle-store",
      "short-wait", "long-wait"}};
 
 /// @brief One event. An event that is not possible in a state changes nothing,
@@ -65,6 +66,9 @@
  public:
   static constexpr std::size_t kVms = 3;
   static constexpr std::size_t kServers = 2;
+  /// Entry of another writer, beside those of the servers.
+  static constexpr std::size_t kOtherEntry = kServers;
+  static constexpr std::size_t kEntries = kServers + 1;
 
   /// @brief All VMs know all servers.
   /// @param domains Failure domains of the VMs, 1 or 2.
