--- a/src/bambootack/gateway/messages.h
+++ b/src/bambootack/gateway/messages.h
@@ -70,7 +70,7 @@
   /// `servers` has all servers, and only what it lacks was removed.
   std::uint64_t history_start = 0;
   core::Duration age{};  ///< Time since the store confirmed `position`.
-  /// Time since which the store has been available as the sender knows.
+  /// How long the store has been available without a gap, as the sender knows.
   core::Duration available_for{};
   std::vector<ServerChange> servers;
   std::uint64_t config_version = 0;
--- a/src/bambootack/gateway/state_sync.cc
+++ b/src/bambootack/gateway/state_sync.cc
@@ -162,6 +162,7 @@
   }
 }
 
+/// Reports from before the position are outdated then.
 void StateSync::SetPosition(std::uint64_t position) noexcept {
   position_ = std::max(position_, position);
   registry_.SetCompleteUntil(position_);
--- a/src/bambootack/gateway/state_sync.h
+++ b/src/bambootack/gateway/state_sync.h
@@ -86,7 +86,7 @@
                        core::Time now);
 
   /// @brief Records a read of the newest record of each key. It lacks earlier
-  /// removals, which this VM can then not pass on to peers.
+  /// removals, so this VM answers no query from before it.
   /// @param end Offset up to which the registry has all changes.
   void RecordFullRead(std::uint64_t end) noexcept;
 
--- a/src/bambootack/net/framing.cc
+++ b/src/bambootack/net/framing.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
 #include <charconv>
-#include <limits>
 #include <system_error>
 
 namespace bambootack::net {
--- a/test/model/state_exchange.h
+++ b/test/model/state_exchange.h
@@ -90,7 +90,7 @@
   [[nodiscard]] std::optional<std::string> Disagreement() const;
 
  private:
-  /// Bytes of a record without a value mark its removal.
+  /// A record of the topic of servers; its offset is its index in the log.
   struct Record {
     std::size_t server = 0;
     bool removed = false;
