--- a/test/model/main.cc
+++ b/test/model/main.cc
@@ -47,13 +47,14 @@
 
 std::optional<Options> ParseOptions(int argc, char** argv) {
   Options options;
-  const option kLong[] = {{"depth", required_argument, nullptr, 'd'},
-                          {"walks", required_argument, nullptr, 'w'},
-                          {"length", required_argument, nullptr, 'l'},
-                          {"seed", required_argument, nullptr, 's'},
-                          {"threads", required_argument, nullptr, 't'},
-                          {nullptr, 0, nullptr, 0}};
-  for (int c = 0; (c = getopt_long(argc, argv, "", kLong, nullptr)) != -1;) {
+  const option long_options[] = {{"depth", required_argument, nullptr, 'd'},
+                                 {"walks", required_argument, nullptr, 'w'},
+                                 {"length", required_argument, nullptr, 'l'},
+                                 {"seed", required_argument, nullptr, 's'},
+                                 {"threads", required_argument, nullptr, 't'},
+                                 {nullptr, 0, nullptr, 0}};
+  for (int c = 0;
+       (c = getopt_long(argc, argv, "", long_options, nullptr)) != -1;) {
     const auto number =
         c == '?' ? std::nullopt : ParseNumber(std::string_view(optarg));
     if (!number) {
--- a/test/model/state_exchange.cc
+++ b/test/model/state_exchange.cc
@@ -50,12 +50,12 @@
 }
 
 const std::string& ConfigPage() {
-  static const std::string page = fmt::format(
+  static const std::string kPage = fmt::format(
       R"({{"items":[{{"key":"config","value":"{}","offset":0}}],)"
       R"("hasMore":false,"end":1}})",
       Base64(R"({"version":"r1","routes":{"columns":["name"],"rows":[]},)"
              R"("services":{"columns":["name"],"rows":[["desk"]]}})"));
-  return page;
+  return kPage;
 }
 
 }  // namespace
@@ -355,8 +355,7 @@
 
 std::optional<std::string> StateExchange::Violation() const {
   for (std::size_t vm = 0; vm < kVms; ++vm) {
-    const Process& process = *vms_[vm].process;
-    const std::uint64_t position = process.sync.Position();
+    const std::uint64_t position = vms_[vm].process->sync.Position();
     if (position > log_.size()) {
       return fmt::format("VM {} is ahead of the store", vm);
     }
@@ -366,36 +365,52 @@
       latest[log_[i].server] = i;
     }
     for (const auto& [server, offset] : latest) {
-      const auto it = process.registry.Servers().find(IdOf(server));
-      const bool used = it != process.registry.Servers().end();
-      if (log_[offset].removed) {
-        const bool outdated = used && static_cast<std::size_t>(
-                                          it->second.record.sequence) < offset;
-        const bool deferred = used && it->second.remove_at;
-        if (outdated && !deferred) {
-          return fmt::format("VM {} at {} uses i-{}, removed at {}", vm,
-                             position, server, offset);
-        }
-        if (outdated && *it->second.remove_at > now_ + kMaxDeferral) {
-          return fmt::format("VM {} defers the removal of i-{} for too long",
-                             vm, server);
-        }
-      } else if (!used) {
-        const bool removed_later =
-            std::any_of(log_.begin() + static_cast<std::ptrdiff_t>(position),
-                        log_.end(), [&](const Record& record) {
-                          return record.server == server && record.removed;
-                        });
-        if (!removed_later) {
-          return fmt::format("VM {} at {} lacks i-{}, reported at {}", vm,
-                             position, server, offset);
-        }
+      auto violation = log_[offset].removed ? UseOfRemoved(vm, offset)
+                                            : LackOfReported(vm, offset);
+      if (violation) {
+        return violation;
       }
     }
   }
   return std::nullopt;
 }
 
+/// Violation if a VM uses a server after the removal at an offset.
+std::optional<std::string> StateExchange::UseOfRemoved(
+    std::size_t vm, std::size_t offset) const {
+  const std::string id = IdOf(log_[offset].server);
+  const auto& servers = vms_[vm].process->registry.Servers();
+  const auto it = servers.find(id);
+  if (it == servers.end() ||
+      static_cast<std::size_t>(it->second.record.sequence) > offset) {
+    return std::nullopt;
+  }
+  if (!it->second.remove_at) {
+    return fmt::format("VM {} at {} uses {}, removed at {}", vm,
+                       vms_[vm].process->sync.Position(), id, offset);
+  }
+  if (*it->second.remove_at > now_ + kMaxDeferral) {
+    return fmt::format("VM {} defers the removal of {} for too long", vm, id);
+  }
+  return std::nullopt;
+}
+
+/// Violation if a VM lacks a server after the report at an offset, and the
+/// server has not been removed since.
+std::optional<std::string> StateExchange::LackOfReported(
+    std::size_t vm, std::size_t offset) const {
+  const std::size_t server = log_[offset].server;
+  const Process& process = *vms_[vm].process;
+  const bool removed = std::any_of(
+      log_.begin() + static_cast<std::ptrdiff_t>(offset), log_.end(),
+      [server](const Record& it) { return it.server == server && it.removed; });
+  if (removed || process.registry.Servers().contains(IdOf(server))) {
+    return std::nullopt;
+  }
+  return fmt::format("VM {} at {} lacks {}, reported at {}", vm,
+                     process.sync.Position(), IdOf(server), offset);
+}
+
 std::optional<std::string> StateExchange::Disagreement() const {
   std::set<std::string> live;
   for (std::size_t i = 0; i < kEntries; ++i) {
--- a/test/model/state_exchange.h
+++ b/test/model/state_exchange.h
@@ -122,6 +122,10 @@
     bool paused = false;
   };
 
+  [[nodiscard]] std::optional<std::string> UseOfRemoved(
+      std::size_t vm, std::size_t offset) const;
+  [[nodiscard]] std::optional<std::string> LackOfReported(
+      std::size_t vm, std::size_t offset) const;
   void Append(std::size_t server, bool removed);
   [[nodiscard]] bool IsLive(std::size_t server) const;
   void Start(std::size_t vm);
