Server registry: services are compared once per change, not once per version

Cause: each configuration compared every server with every other one by their addresses, 810,000 comparisons on the large site for each VM and version.

Change: nothing happens while the services stay the same; otherwise only servers that share an address are compared.

--- a/src/bambootack/gateway/server_registry.cc
+++ b/src/bambootack/gateway/server_registry.cc
@@ -50,13 +50,22 @@
 }
 
 void ServerRegistry::SetServices(std::set<std::string, std::less<>> services) {
+  if (services == services_) {
+    return;
+  }
   services_ = std::move(services);
-  std::vector<Registration> registrations;
+  std::map<std::string, std::vector<std::string>, std::less<>> ids_by_address;
   for (const auto& [id, it] : servers_) {
-    registrations.push_back(it);
-  }
-  for (const Registration& it : registrations) {
-    RemovePreviousServersAt(it.record, it.offset);
+    ids_by_address[it.record.address].push_back(id);
+  }
+  for (const auto& [address, ids] : ids_by_address) {
+    for (const std::string& id : ids) {
+      const auto it = servers_.find(id);
+      if (ids.size() > 1 && it != servers_.end()) {
+        RemovePreviousServersAt(ServerRecord(it->second.record),
+                                it->second.offset);
+      }
+    }
   }
 }
 
