--- a/test/platform/configuration_delivery_test.cc
+++ b/test/platform/configuration_delivery_test.cc
@@ -21,14 +21,6 @@
 /// Packets that wait longer for a link make its VM count as slowed.
 constexpr core::Duration kMaxLinkWait = milliseconds(500);
 
-std::size_t StoreReaderOf(const SimulatedFleet& fleet) {
-  std::size_t vm = 0;
-  while (!fleet.IsStoreReader(vm)) {
-    ++vm;
-  }
-  return vm;
-}
-
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(configuration_delivery)
@@ -59,7 +51,7 @@
   SimulatedFleet fleet({});
   fleet.RunFor(seconds(12));
   static_cast<void>(fleet.TakeLongestLinkWait());
-  fleet.Restart(StoreReaderOf(fleet));
+  fleet.Restart(fleet.StoreReader());
   fleet.RunFor(milliseconds(500));
   fleet.PublishConfig(2);
   fleet.RunFor(kApplyTime);
--- a/test/platform/server_removal_test.cc
+++ b/test/platform/server_removal_test.cc
@@ -14,14 +14,6 @@
 /// A removed server must be out of use this long after its removal.
 constexpr core::Duration kApplyTime = milliseconds(2000);
 
-std::size_t StoreReaderOf(const SimulatedFleet& fleet) {
-  std::size_t vm = 0;
-  while (!fleet.IsStoreReader(vm)) {
-    ++vm;
-  }
-  return vm;
-}
-
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(server_removal)
@@ -33,7 +25,7 @@
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     SimulatedFleet fleet({.vms = 12, .servers = 20, .seed = seed});
     fleet.RunFor(seconds(12));
-    const std::size_t reader = StoreReaderOf(fleet);
+    const std::size_t reader = fleet.StoreReader();
     fleet.SetConnected(reader, false);
     fleet.RunFor(milliseconds(50));
     fleet.RemoveServer(3);
@@ -51,7 +43,7 @@
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     SimulatedFleet fleet({.vms = 12, .servers = 20, .seed = seed});
     fleet.RunFor(seconds(12));
-    const std::size_t reader = StoreReaderOf(fleet);
+    const std::size_t reader = fleet.StoreReader();
     fleet.SetConnected(reader, false);
     fleet.RunFor(milliseconds(4300));
     // It reaches the store before it hears its peers.
--- a/test/platform/simulated_fleet.cc
+++ b/test/platform/simulated_fleet.cc
@@ -279,6 +279,14 @@
   return result;
 }
 
+std::size_t SimulatedFleet::StoreReader() const {
+  std::size_t vm = 0;
+  while (!IsStoreReader(vm)) {
+    ++vm;
+  }
+  return vm;
+}
+
 bool SimulatedFleet::IsStoreReader(std::size_t vm) const {
   return vms_[vm].gateway->Sync().IsStoreReader(now_);
 }
--- a/test/platform/simulated_fleet.h
+++ b/test/platform/simulated_fleet.h
@@ -76,6 +76,9 @@
   /// @brief Whether a VM takes itself for the store reader of the domain.
   [[nodiscard]] bool IsStoreReader(std::size_t vm) const;
 
+  /// @brief First VM that takes itself for the store reader of the domain.
+  [[nodiscard]] std::size_t StoreReader() const;
+
   /// @brief Time since the store confirmed the state of a VM.
   [[nodiscard]] core::Duration StateAge(std::size_t vm) const {
     return vms_[vm].gateway->Sync().StateAge(now_).value_or(
