Read-through: the framing of an answer is read once; one place each in the model

No change of behaviour. The HTTP client decided the framing of each answer's head twice, and kept an include that nothing uses. The model checker had the check after calm, and the step that puts a configuration in force, twice each, built its list of events at each node, and ended Shrink in a way that its loop already does.

--- a/src/bambootack/gateway/server_registry.cc
+++ b/src/bambootack/gateway/server_registry.cc
@@ -73,10 +73,10 @@
 /// terminated.
 void ServerRegistry::RemovePreviousServersAt(const ServerRecord& record,
                                              std::uint64_t offset) {
-  std::vector<std::string> previous;
   if (!services_.contains(record.service)) {
     return;
   }
+  std::vector<std::string> previous;
   for (const auto& [id, it] : servers_) {
     if (id != record.id && it.record.address == record.address &&
         it.record.started < record.started) {
--- a/src/bambootack/net/http_client.cc
+++ b/src/bambootack/net/http_client.cc
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <boost/algorithm/string/predicate.hpp>
 #include <charconv>
 #include <deque>
 #include <mutex>
@@ -183,11 +182,12 @@
 /// Tells whether the end of the body is certain. Answers that end with their
 /// connection may be truncated; malformed or contradictory fields may be read
 /// differently.
-bool IsFramed(const core::HttpAnswer& answer, const HttpCall& call) {
+bool IsFramed(BodyFraming framing, const core::HttpAnswer& answer,
+              const HttpCall& call) {
   const bool empty = call.http.method == "HEAD" ||
                      answer.status == kNoContent ||
                      answer.status == kNotModified;
-  switch (FramingOf(answer.headers)) {
+  switch (framing) {
     case BodyFraming::kInvalid:
       return false;
     case BodyFraming::kClose:
@@ -229,10 +229,11 @@
     AddHeader(answer, line);
   } else if (answer.status >= kFirstFinalStatus) {
     transfer->headers_done = true;
-    if (!IsFramed(answer, transfer->call)) {
+    const BodyFraming framing = FramingOf(answer.headers);
+    if (!IsFramed(framing, answer, transfer->call)) {
       return 0;
     }
-    if (FramingOf(answer.headers) == BodyFraming::kChunked) {
+    if (framing == BodyFraming::kChunked) {
       transfer->chunks.emplace();
     }
     if (transfer->call.on_large_body && HasLargeBody(answer)) {
--- a/test/model/search.cc
+++ b/test/model/search.cc
@@ -59,7 +59,14 @@
   return events;
 }
 
-/// Violation of an order of events, with or without calm at its end.
+/// Violation once all disruptions have ended.
+std::optional<std::string> ViolationAfterCalm(StateExchange& exchange) {
+  exchange.CalmDown();
+  auto violation = exchange.Violation();
+  return violation ? violation : exchange.Disagreement();
+}
+
+/// Violation of an order of events, or of the calm at its end.
 std::optional<std::string> Play(std::size_t domains,
                                 const std::vector<Event>& events,
                                 std::uint64_t& states) {
@@ -72,9 +79,7 @@
       }
     }
   }
-  exchange.CalmDown();
-  auto violation = exchange.Violation();
-  return violation ? violation : exchange.Disagreement();
+  return ViolationAfterCalm(exchange);
 }
 
 /// Leaves out events, as many at once as possible, while the order still breaks
@@ -95,9 +100,6 @@
       }
     }
     n = shrunk ? std::min(n, finding.events.size() / 2) : n / 2;
-    if (shrunk && n == 0 && finding.events.size() == 1) {
-      return;
-    }
   }
 }
 
@@ -124,9 +126,7 @@
     ++report.states;
     auto violation = exchange.Violation();
     if (!violation && order.size() == depth_) {
-      exchange.CalmDown();
-      violation = exchange.Violation();
-      violation = violation ? violation : exchange.Disagreement();
+      violation = ViolationAfterCalm(exchange);
     }
     if (violation) {
       report.finding = Finding{order, *std::move(violation)};
@@ -134,7 +134,7 @@
       return;
     }
     if (order.size() < depth_) {
-      for (const Event& it : CoreEvents()) {
+      for (const Event& it : events_) {
         order.push_back(it);
         Visit(order);
         order.pop_back();
@@ -145,6 +145,7 @@
   SearchReport report;
 
  private:
+  const std::vector<Event> events_ = CoreEvents();
   std::size_t domains_;
   std::size_t depth_;
   std::atomic<bool>& stopped_;
--- a/test/model/state_exchange.cc
+++ b/test/model/state_exchange.cc
@@ -70,9 +70,7 @@
       sync(VmIdOf(vm), DomainOf(vm, domains), kChangeTime, registry, peers),
       store(sync, registry,
             {[this](const gateway::GatewayConfig& config, core::Time now) {
-               registry.SetServices(
-                   {config.services.begin(), config.services.end()});
-               sync.UpdateConfig(config, now);
+               Configure(config, now);
              },
              [](core::Time) {}, [](log::EventId, const std::string&) {}}),
       random(vm + 1) {
@@ -82,6 +80,12 @@
   sync.MarkFleetKnown();
 }
 
+void StateExchange::Process::Configure(const gateway::GatewayConfig& config,
+                                       core::Time now) {
+  registry.SetServices({config.services.begin(), config.services.end()});
+  sync.UpdateConfig(config, now);
+}
+
 StateExchange::StateExchange(std::size_t domains) : domains_(domains) {
   for (std::size_t i = 0; i < kServers; ++i) {
     Append(i, false);
@@ -296,9 +300,7 @@
   if (const auto* update = std::get_if<gateway::StateUpdate>(&message)) {
     static_cast<void>(process.sync.Receive(VmIdOf(from), *update, now_));
     if (update->config) {
-      process.registry.SetServices(
-          {update->config->services.begin(), update->config->services.end()});
-      process.sync.UpdateConfig(*update->config, now_);
+      process.Configure(*update->config, now_);
     }
   } else if (const auto* query = std::get_if<gateway::StateQuery>(&message)) {
     process.sync.Receive(VmIdOf(from), *query, now_);
--- a/test/model/state_exchange.h
+++ b/test/model/state_exchange.h
@@ -108,6 +108,8 @@
   struct Process {
     Process(std::size_t vm, std::size_t domains);
 
+    void Configure(const gateway::GatewayConfig& config, core::Time now);
+
     gateway::ServerRegistry registry;
     gateway::PeerDirectory peers;
     gateway::StateSync sync;
