Customers: requests run under the customer of their API key

Configurations may hold customers with API keys.

The configuration now carries customers, exempt routes and the limits on callers. A directory maps a key to its customer by a keyed hash. 401 comes only from a VM with current state; any other answers 503, since the key may be new. The customer is looked up again when a request is retried under a new configuration.

Without customers in the configuration nothing changes.

--- a/src/bambootack/core/error_kind.h
+++ b/src/bambootack/core/error_kind.h
@@ -36,6 +36,8 @@
   kBackendAnswerInvalid,
   kShuttingDown,
   kUnauthorized,
+  kCustomerUnknown,
+  kCustomersUnconfirmed,
   kTicketMalformed,
   kTicketStale,
   kTicketConflict,
--- /dev/null
+++ b/src/bambootack/customers/fwd.h
@@ -0,0 +1,11 @@
+#ifndef BAMBOOTACK_CUSTOMERS_FWD_H_
+#define BAMBOOTACK_CUSTOMERS_FWD_H_
+
+namespace bambootack::customers {
+
+struct Customer;
+class Directory;
+
+}  // namespace bambootack::customers
+
+#endif  // BAMBOOTACK_CUSTOMERS_FWD_H_
--- a/src/bambootack/gateway/codec.cc
+++ b/src/bambootack/gateway/codec.cc
@@ -32,6 +32,15 @@
 
 }  // namespace bambootack::core
 
+namespace bambootack::customers {
+
+template <typename A>
+void serialize(A& ar, Customer& it) {
+  ar(it.name, it.keys, it.rank, it.rate, it.burst);
+}
+
+}  // namespace bambootack::customers
+
 namespace bambootack::gateway {
 
 template <typename A>
@@ -43,7 +52,8 @@
 void serialize(A& ar, SlotRequirements& it) {
   ar(it.service, it.group, it.route, it.repeatable, it.priority,
      it.defers_to_urgent, it.waited_for_slot, it.max_queue_wait, it.time_left,
-     it.failure_domain, it.excluded, it.fingerprint);
+     it.failure_domain, it.excluded, it.fingerprint, it.customer,
+     it.customer_rank);
 }
 
 template <typename A>
@@ -104,13 +114,19 @@
 
 template <typename A>
 void serialize(A& ar, GatewayRoute& it) {
-  ar(it.id, it.host, it.path_prefix, it.repeatable, it.timeout,
+  ar(it.id, it.host, it.path_prefix, it.repeatable, it.exempt, it.timeout,
      it.latency_target, it.priority, it.max_attempts, it.weighted_services);
 }
 
+template <typename A>
+void serialize(A& ar, CallerLimits& it) {
+  ar(it.header_bytes, it.body_bytes, it.header_timeout, it.idle_timeout);
+}
+
 template <typename A>
 void serialize(A& ar, GatewayConfig& it) {
-  ar(it.version, it.routes, it.services);
+  ar(it.version, it.routes, it.services, it.requires_keys, it.customers,
+     it.caller_limits);
 }
 
 template <typename A>
--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -34,7 +34,8 @@
       fmt::format("version={} before={} routes={}", config.version,
                   routes_->Version(), config.routes.size()));
   registry_.SetServices({config.services.begin(), config.services.end()});
-  routes_ = std::make_shared<const RouteTable>(std::move(config));
+  routes_ = std::make_shared<const RouteTable>(std::move(config),
+                                               options_.key_secret);
   sync_.UpdateConfig(routes_->Config(), now);
   pool_.Update(registry_, now);
 }
@@ -88,6 +89,35 @@
   return true;
 }
 
+/// Sets the customer of a request by its API key. The configuration may lack a
+/// new key, so an unknown one is an error of the caller only while the
+/// configuration is current.
+/// @return The error, if the request needs a key and has no valid one.
+std::optional<core::ErrorKind> Gateway::IdentifyCustomer(Request& request,
+                                                         core::Time now) {
+  request.customer.clear();
+  request.customer_rank = 0;
+  if (!routes_->Config().requires_keys || request.route->exempt) {
+    return std::nullopt;
+  }
+  const auto identity = routes_->Customers().Identify(request.http.headers);
+  metrics_.CountKeyCheck(identity.check);
+  if (identity.customer != nullptr) {
+    request.customer = identity.customer->name;
+    request.customer_rank = identity.customer->rank;
+    return std::nullopt;
+  }
+  Log(log::EventId::kCustomerUnknown,
+      fmt::format(
+          "request={} key={} hash={}", Truncate(request.id),
+          customers::kKeyCheckNames.Name(identity.check),
+          identity.key_hash ? customers::ShortText(*identity.key_hash) : "-"));
+  const auto age = sync_.StateAge(now);
+  return age && *age <= options_.change_time
+             ? core::ErrorKind::kCustomerUnknown
+             : core::ErrorKind::kCustomersUnconfirmed;
+}
+
 void Gateway::OnRequest(core::CallerId caller, core::HttpRequest http,
                         core::Time now) {
   if (!HasRoutesAndServers() && !shutdown_ &&
@@ -122,7 +152,11 @@
   request.http = std::move(http);
   request.arrived = arrived;
   request.capacity_wait_start = now;
-  if (const auto error = ResolveRoute(request)) {
+  auto error = ResolveRoute(request);
+  if (!error) {
+    error = IdentifyCustomer(request, now);
+  }
+  if (error) {
     Log(log::EventId::kRequestRefused,
         fmt::format("request={} error={} version={} path={}",
                     Truncate(request.id), core::AnswerOf(*error).name,
--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -47,6 +47,7 @@
   /// Time within which a change of servers or of the configuration must be in
   /// force.
   core::Duration change_time = std::chrono::seconds(2);
+  customers::HashSecret key_secret{};  ///< For hashes of API keys.
 };
 
 /// @brief Action: transmits a request once to a backend server.
@@ -185,6 +186,8 @@
     std::shared_ptr<const RouteTable> table;
     const GatewayRoute* route = nullptr;
     std::string service;
+    std::string customer;  ///< Empty if the request needs no API key.
+    int customer_rank = 0;
     core::Time arrived{};
     core::Time deadline{};
     /// Slot requests so far; the number of the latest one.
@@ -256,6 +259,8 @@
   [[nodiscard]] std::optional<core::ErrorKind> ResolveRoute(
       Request& request) const;
   [[nodiscard]] bool FindRoute(Request& request) const;
+  [[nodiscard]] std::optional<core::ErrorKind> IdentifyCustomer(
+      Request& request, core::Time now);
   [[nodiscard]] bool ApplyCurrentRoute(core::Handle handle, core::Time now);
   void KeepAttemptOrRefuse(core::Handle handle, core::ErrorKind not_executed,
                            core::Time now);
--- a/src/bambootack/gateway/gateway_attempts.cc
+++ b/src/bambootack/gateway/gateway_attempts.cc
@@ -89,6 +89,8 @@
   requirements.time_left = remaining;
   requirements.excluded = request.failed_servers;
   requirements.fingerprint = request.fingerprint;
+  requirements.customer = request.customer;
+  requirements.customer_rank = request.customer_rank;
   for (const auto& [server, until] : unreachable_until_) {
     if (now < until) {
       requirements.excluded.push_back(server);
@@ -119,7 +121,9 @@
       request.possible_executions == 0 ||
       (request.route->repeatable &&
        request.possible_executions < request.route->max_attempts);
-  if (found && may_repeat) {
+  const auto error =
+      found ? IdentifyCustomer(request, now) : core::ErrorKind::kNoRoute;
+  if (!error && may_repeat) {
     if (request.service != previous_service) {
       request.group = static_cast<std::uint32_t>(
           random_.Below(pool_.GroupCountOf(request.service)));
@@ -127,7 +131,7 @@
     }
     return true;
   }
-  KeepAttemptOrRefuse(handle, core::ErrorKind::kNoRoute, now);
+  KeepAttemptOrRefuse(handle, error.value_or(core::ErrorKind::kNoRoute), now);
   return false;
 }
 
@@ -321,11 +325,14 @@
                   request.id, slot.server, slot.address, request.slot_requests,
                   static_cast<std::uint32_t>(granter),
                   core::ToMilliseconds(remaining)));
-  actions_.emplace_back(
-      StartAttempt{id, slot.address,
-                   ToServerRequest(options_.header_names, request.http,
-                                   slot.server, remaining),
-                   remaining});
+  actions_.emplace_back(StartAttempt{
+      id, slot.address,
+      ToServerRequest(options_.header_names, request.http, slot.server,
+                      remaining,
+                      request.table->Config().requires_keys
+                          ? std::optional<std::string_view>(request.customer)
+                          : std::nullopt),
+      remaining});
   by_attempt_[id] = handle;
   request.attempt = Attempt{id, std::move(slot), granter, now};
   ++request.attempts;
--- a/src/bambootack/gateway/metrics.cc
+++ b/src/bambootack/gateway/metrics.cc
@@ -22,6 +22,8 @@
 constexpr MetricInfo kHealthChanges{"bambootack_gateway_trust_changes_total",
                                     "counter",
                                     "Changes of trust in backend servers."};
+constexpr MetricInfo kKeyChecks{"bambootack_gateway_key_checks_total",
+                                "counter", "Checks of API keys of callers."};
 constexpr MetricInfo kDispatcherTimeouts{
     "bambootack_gateway_silent_dispatchers_total", "counter",
     "Slots that a dispatcher did not grant in time."};
@@ -56,12 +58,24 @@
 constexpr MetricInfo kReady{"bambootack_gateway_ready", "gauge",
                             "1 if this VM takes traffic."};
 
-constexpr std::array kCatalogue{
-    kAnswers,    kAttempts,  kHealthChanges,  kDispatcherTimeouts,
-    kStoreCalls, kPeerBytes, kLeavingServers, kServerPauses,
-    kLatency,    kSlotWait,  kTimerDelay,     kInFlight,
-    kServers,    kMembers,   kConfigVersion,  kStateAge,
-    kReady};
+constexpr std::array kCatalogue{kAnswers,
+                                kAttempts,
+                                kHealthChanges,
+                                kKeyChecks,
+                                kDispatcherTimeouts,
+                                kStoreCalls,
+                                kPeerBytes,
+                                kLeavingServers,
+                                kServerPauses,
+                                kLatency,
+                                kSlotWait,
+                                kTimerDelay,
+                                kInFlight,
+                                kServers,
+                                kMembers,
+                                kConfigVersion,
+                                kStateAge,
+                                kReady};
 
 }  // namespace
 
@@ -79,6 +93,11 @@
   ++health_changes_[fmt::format("to=\"{}\"", kServerHealthNames.Name(to))];
 }
 
+void GatewayMetrics::CountKeyCheck(customers::KeyCheck check) {
+  ++key_checks_[fmt::format("result=\"{}\"",
+                            customers::kKeyCheckNames.Name(check))];
+}
+
 void GatewayMetrics::ObserveLatency(int priority, core::Duration value) {
   latency_[std::min(priority, kLastLatencyBucketPriority)].Observe(value);
 }
@@ -88,6 +107,7 @@
   metrics::WriteCounts(out, kAnswers, answers_);
   metrics::WriteCounts(out, kAttempts, attempts_);
   metrics::WriteCounts(out, kHealthChanges, health_changes_);
+  metrics::WriteCounts(out, kKeyChecks, key_checks_);
   metrics::WriteValue(out, kDispatcherTimeouts, dispatcher_timeouts_);
   metrics::WriteValue(out, kStoreCalls, store_calls_);
   metrics::WriteValue(out, kPeerBytes, peer_bytes_);
--- a/src/bambootack/gateway/metrics.h
+++ b/src/bambootack/gateway/metrics.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "bambootack/core/time.h"
+#include "bambootack/customers/directory.h"
 #include "bambootack/gateway/model.h"
 #include "bambootack/gateway/server_pool.h"
 #include "bambootack/metrics/metric_info.h"
@@ -43,6 +44,9 @@
   /// @brief Counts a change of a server's health.
   void CountHealthChange(ServerHealth to);
 
+  /// @brief Counts the result of the check of an API key.
+  void CountKeyCheck(customers::KeyCheck check);
+
   /// @brief Counts a slot request that the dispatcher did not answer in time.
   void CountDispatcherTimeout() noexcept { ++dispatcher_timeouts_; }
 
@@ -78,6 +82,7 @@
   Counts answers_;
   Counts attempts_;
   Counts health_changes_;
+  Counts key_checks_;
   std::uint64_t dispatcher_timeouts_ = 0;
   std::uint64_t store_calls_ = 0;
   std::uint64_t peer_bytes_ = 0;
--- a/src/bambootack/gateway/model.h
+++ b/src/bambootack/gateway/model.h
@@ -1,13 +1,16 @@
 #ifndef BAMBOOTACK_GATEWAY_MODEL_H_
 #define BAMBOOTACK_GATEWAY_MODEL_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "bambootack/core/enum_names.h"
 #include "bambootack/core/time.h"
+#include "bambootack/customers/customer.h"
 
 namespace bambootack::gateway {
 
@@ -41,6 +44,7 @@
   std::string host;
   std::string path_prefix;  ///< Begins and ends with a slash.
   bool repeatable = false;  ///< Safe to execute more than once.
+  bool exempt = false;      ///< Requests need no API key.
   core::Duration timeout = std::chrono::seconds(2);
   core::Duration latency_target = std::chrono::milliseconds(500);
   int priority = 0;      ///< 0 is the most urgent.
@@ -50,11 +54,25 @@
   friend bool operator==(const GatewayRoute&, const GatewayRoute&) = default;
 };
 
+/// @brief Limits on what a caller may send on a connection.
+struct CallerLimits {
+  std::size_t header_bytes = 0;  ///< Of one request, with its request line.
+  std::size_t body_bytes = 0;    ///< Of one request.
+  core::Duration header_timeout{};
+  core::Duration idle_timeout{};  ///< Between two requests.
+
+  friend bool operator==(const CallerLimits&, const CallerLimits&) = default;
+};
+
 /// @brief One version of the whole configuration.
 struct GatewayConfig {
   std::uint64_t version = 0;
   std::vector<GatewayRoute> routes;
   std::vector<std::string> services;
+  /// Whether requests on routes that are not exempt need an API key.
+  bool requires_keys = false;
+  std::vector<customers::Customer> customers;
+  std::optional<CallerLimits> caller_limits;
 
   friend bool operator==(const GatewayConfig&, const GatewayConfig&) = default;
 };
--- a/src/bambootack/gateway/route_table.cc
+++ b/src/bambootack/gateway/route_table.cc
@@ -26,7 +26,9 @@
 
 }  // namespace
 
-RouteTable::RouteTable(GatewayConfig config) : config_(std::move(config)) {
+RouteTable::RouteTable(GatewayConfig config,
+                       const customers::HashSecret& secret)
+    : config_(std::move(config)), customers_(config_.customers, secret) {
   for (std::size_t i = 0; i < config_.routes.size(); ++i) {
     const GatewayRoute& it = config_.routes[i];
     hosts_[boost::algorithm::to_lower_copy(it.host)][it.path_prefix] = i;
--- a/src/bambootack/gateway/route_table.h
+++ b/src/bambootack/gateway/route_table.h
@@ -8,16 +8,20 @@
 #include <string_view>
 #include <vector>
 
+#include "bambootack/customers/directory.h"
 #include "bambootack/gateway/model.h"
 
 namespace bambootack::gateway {
 
-/// @brief Routes of one configuration, indexed by host and path prefix.
+/// @brief Routes of one configuration, indexed by host and path prefix, and its
+/// customers.
 class RouteTable {
  public:
   RouteTable() = default;
 
-  explicit RouteTable(GatewayConfig config);
+  /// @param secret Secret under which the API keys are hashed.
+  explicit RouteTable(GatewayConfig config,
+                      const customers::HashSecret& secret = {});
 
   /// @brief Finds the route of a request.
   /// @param host Value of the Host field, with or without a port.
@@ -38,12 +42,18 @@
     return config_.version;
   }
 
+  /// @brief Customers of the configuration.
+  [[nodiscard]] const customers::Directory& Customers() const noexcept {
+    return customers_;
+  }
+
   [[nodiscard]] const GatewayConfig& Config() const noexcept { return config_; }
 
  private:
   using Prefixes = std::map<std::string, std::size_t, std::less<>>;
 
   GatewayConfig config_;
+  customers::Directory customers_;
   std::map<std::string, Prefixes, std::less<>> hosts_;
   /// Index of the most urgent route of each service.
   std::map<std::string, std::size_t, std::less<>> most_urgent_;
--- a/src/bambootack/gateway/server_pool.h
+++ b/src/bambootack/gateway/server_pool.h
@@ -50,6 +50,8 @@
   std::vector<std::string> excluded;  ///< Servers that the entry cannot use.
   /// Identifies the request; equal when a caller repeats it.
   std::uint64_t fingerprint = 0;
+  std::string customer;   ///< Empty if the request has none.
+  int customer_rank = 0;  ///< 0 is the most urgent; goes before `priority`.
   /// Whether the pool grants slots for the whole fleet. Only then is a server
   /// without requests idle. Not sent to peers.
   bool pool_is_fleet_wide = true;
--- a/src/bambootack/gateway/server_protocol.cc
+++ b/src/bambootack/gateway/server_protocol.cc
@@ -66,13 +66,21 @@
 core::HttpRequest ToServerRequest(const HeaderNames& names,
                                   const core::HttpRequest& request,
                                   std::string_view server,
-                                  core::Duration remaining) {
+                                  core::Duration remaining,
+                                  std::optional<std::string_view> customer) {
   core::HttpRequest result;
   result.method = request.method;
   result.target = request.target;
   result.headers = core::EndToEndHeaders(request.headers);
   RemoveField(result.headers, names.remaining_ms);
   RemoveField(result.headers, names.expected_server);
+  if (customer) {
+    RemoveField(result.headers, "Authorization");
+    RemoveField(result.headers, names.customer);
+    if (!customer->empty()) {
+      result.headers.push_back({names.customer, std::string(*customer)});
+    }
+  }
   if (const auto host = core::FindHeader(request.headers, "Host")) {
     result.headers.push_back({"Host", std::string(*host)});
   }
--- a/src/bambootack/gateway/server_protocol.h
+++ b/src/bambootack/gateway/server_protocol.h
@@ -23,6 +23,7 @@
   std::string load;             ///< "executing,queued,slots" of the server.
   std::string leaving;          ///< "1" if the server is about to terminate.
   std::string retry_after;      ///< Seconds, with a 503 of a server.
+  std::string customer;         ///< Name of the customer, for the server.
 };
 
 /// @brief What a server states about itself in an answer.
@@ -45,9 +46,13 @@
 /// @param request The caller's request.
 /// @param server Id of the server.
 /// @param remaining Time left until the deadline.
+/// @param customer Customer of the request, or empty if the route needs no API
+/// key. The server then learns neither the API key nor what the caller claims
+/// about its customer. Nothing if the fleet knows no customers.
 [[nodiscard]] core::HttpRequest ToServerRequest(
     const HeaderNames& names, const core::HttpRequest& request,
-    std::string_view server, core::Duration remaining);
+    std::string_view server, core::Duration remaining,
+    std::optional<std::string_view> customer);
 
 /// @brief Classifies a server's complete answer. An answer to another request,
 /// or one that claims success without the server's signature, is invalid.
--- a/src/bambootack/gateway/state_sync.cc
+++ b/src/bambootack/gateway/state_sync.cc
@@ -37,6 +37,8 @@
 constexpr std::size_t kChangeBytes = 80;
 constexpr std::size_t kRouteBytes = 80;
 constexpr std::size_t kServiceBytes = 16;
+constexpr std::size_t kCustomerBytes = 40;
+constexpr std::size_t kKeyBytes = 8;
 constexpr std::size_t kNoticeBytes = 80;  ///< With the seal of its datagram.
 
 /// Approximate size of an update on the wire.
@@ -59,6 +61,12 @@
   for (const std::string& it : update.config->services) {
     bytes += kServiceBytes + it.size();
   }
+  for (const customers::Customer& it : update.config->customers) {
+    bytes += kCustomerBytes + it.name.size();
+    for (const std::string& key : it.keys) {
+      bytes += kKeyBytes + key.size();
+    }
+  }
   return bytes;
 }
 
--- a/src/bambootack/log/event.cc
+++ b/src/bambootack/log/event.cc
@@ -124,6 +124,12 @@
               "route-type-unknown",
               "a configuration has routes of a type that this version does not "
               "know; their requests are not repeated"},
+    EventInfo{EventId::kCustomerUnknown, LogLevel::kWarning, "customer-unknown",
+              "a request has no API key of a customer; key is what was wrong",
+              LineLimit::kRequest},
+    EventInfo{EventId::kCustomerIgnored, LogLevel::kWarning, "customer-ignored",
+              "a customer of a configuration is malformed; its keys are "
+              "unknown, other customers are not affected"},
 };
 
 }  // namespace
--- a/src/bambootack/log/event.h
+++ b/src/bambootack/log/event.h
@@ -62,6 +62,8 @@
   kServerLeaving = 718,
   kServerPaused = 719,
   kRouteTypeUnknown = 720,
+  kCustomerUnknown = 721,
+  kCustomerIgnored = 722,
 };
 
 /// @brief How often an event is written; see `LineLimiter`.
--- a/src/gateway/identity.cc
+++ b/src/gateway/identity.cc
@@ -34,6 +34,9 @@
 gateway::GatewayOptions MakeGatewayOptions(
     const gateway::GatewaySettings& settings,
     const platform::FleetLimits& limits) {
+  if (sodium_init() < 0) {
+    throw std::runtime_error("libsodium cannot be initialized");
+  }
   gateway::GatewayOptions options;
   options.vm = VmIdOf(settings.peer_address);
   options.peer_address = settings.peer_address;
@@ -43,6 +46,7 @@
   options.retry_burst = limits.retry_burst;
   options.retry_window = limits.retry_window;
   options.change_time = std::min(limits.drain_time, limits.config_time);
+  randombytes_buf(options.key_secret.data(), options.key_secret.size());
   return options;
 }
 
--- a/src/gateway/identity.h
+++ b/src/gateway/identity.h
@@ -21,7 +21,8 @@
 [[nodiscard]] std::string GenerateFleetKey();
 
 /// @brief Derives the options of the gateway from the settings of its daemon
-/// and the limits of the platform.
+/// and the limits of the platform, with a random secret for API keys.
+/// @throw std::runtime_error if libsodium cannot be initialized.
 [[nodiscard]] gateway::GatewayOptions MakeGatewayOptions(
     const gateway::GatewaySettings& settings,
     const platform::FleetLimits& limits);
--- a/test/bambootack/gateway/gateway_fixture.h
+++ b/test/bambootack/gateway/gateway_fixture.h
@@ -30,7 +30,7 @@
     options.failure_domain = "west";
     options.header_names = {"Request-Id", "Time-Left-Ms", "Only-Server",
                             "Signature",  "Not-Run",      "Load",
-                            "Leaving",    "Retry-After"};
+                            "Leaving",    "Retry-After",  "Customer"};
     options.retry_ratio = 0.2;
     options.retry_burst = 80.0;
     return options;
--- a/test/bambootack/gateway/server_protocol_test.cc
+++ b/test/bambootack/gateway/server_protocol_test.cc
@@ -12,8 +12,8 @@
 namespace {
 
 gateway::HeaderNames Names() {
-  return {"Request-Id", "Time-Left-Ms", "Only-Server", "Signature",
-          "Not-Run",    "Load",         "Leaving",     "Retry-After"};
+  return {"Request-Id", "Time-Left-Ms", "Only-Server", "Signature", "Not-Run",
+          "Load",       "Leaving",      "Retry-After", "Customer"};
 }
 
 }  // namespace
@@ -92,7 +92,7 @@
                              {"X-Kept", "2"}},
                             "body"};
   const core::HttpRequest sent = gateway::ToServerRequest(
-      Names(), request, "s1", std::chrono::milliseconds(450));
+      Names(), request, "s1", std::chrono::milliseconds(450), std::nullopt);
   BOOST_TEST(sent.method == "POST");
   BOOST_TEST(sent.target == "/visits/1?x=2");
   BOOST_TEST(sent.body == "body");
@@ -104,6 +104,35 @@
   BOOST_TEST(!core::FindHeader(sent.headers, "X-Hop").has_value());
 }
 
+// Guards against a server that learns an API key, or that takes a customer from
+// what the caller claims.
+BOOST_AUTO_TEST_CASE(servers_learn_the_customer_and_not_its_key) {
+  const core::HttpRequest request{"GET",
+                                  "/visits/1",
+                                  {{"Host", "a.example"},
+                                   {"authorization", "Bearer k1"},
+                                   {"customer", "forged"}},
+                                  ""};
+  const auto send = [&](std::optional<std::string_view> customer) {
+    return gateway::ToServerRequest(Names(), request, "s1",
+                                    std::chrono::milliseconds(450), customer)
+        .headers;
+  };
+  const core::Headers known = send("yard");
+  BOOST_TEST(!core::FindHeader(known, "Authorization").has_value());
+  BOOST_TEST(core::FindHeader(known, "Customer").value_or("") == "yard");
+  BOOST_TEST(std::count_if(known.begin(), known.end(), [](const auto& it) {
+               return it.value == "forged";
+             }) == 0);
+  const core::Headers exempt = send("");
+  BOOST_TEST(!core::FindHeader(exempt, "Authorization").has_value());
+  BOOST_TEST(!core::FindHeader(exempt, "Customer").has_value());
+  const core::Headers without_customers = send(std::nullopt);
+  BOOST_TEST(core::FindHeader(without_customers, "Authorization").has_value());
+  BOOST_TEST(core::FindHeader(without_customers, "Customer").value_or("") ==
+             "forged");
+}
+
 // Guards against a pause that ends early or never because its text was taken
 // for another number.
 BOOST_AUTO_TEST_CASE(pauses_are_read_from_refusals) {
--- a/test/platform/decode_test.cc
+++ b/test/platform/decode_test.cc
@@ -76,6 +76,46 @@
   }
 }
 
+// Guards against customers that lose their service because of the row of
+// another one, and against keys that two customers hold.
+BOOST_AUTO_TEST_CASE(malformed_customers_are_ignored_one_by_one) {
+  const std::string text = Replace(
+      kConfig, "\"unknown\":[1,2]",
+      R"("tenants":{"columns":["name","apiKeys","priority","ratePerS","burst"],
+      "rows":[["yard",["k1","k2"],1,242,100.5],["fish",["k3"],null,null,0],
+        ["cold",["k1"],0,1,1],["bad",[7],0,1,1],[null,["k4"],0,1,1],
+        ["neg",["k5"],0,-1,1],["none",null,0,1,1]]})");
+  const auto decoded = platform::DecodeConfig(text);
+  BOOST_TEST_REQUIRE(decoded.has_value());
+  BOOST_TEST(decoded->config.requires_keys);
+  BOOST_TEST_REQUIRE(decoded->config.customers.size() == 2U);
+  const auto& yard = decoded->config.customers[0];
+  BOOST_TEST(yard.name == "yard");
+  BOOST_TEST(yard.keys.size() == 2U);
+  BOOST_TEST(yard.rank == 1);
+  BOOST_TEST(yard.rate == 242.0);
+  BOOST_TEST(yard.burst == 100.5);
+  BOOST_TEST(decoded->config.customers[1].rate == 0.0);
+  const std::vector<std::string> ignored{"cold", "bad", "5", "neg", "none"};
+  BOOST_TEST(decoded->ignored_customers == ignored,
+             boost::test_tools::per_element());
+  BOOST_TEST(!platform::DecodeConfig(kConfig)->config.requires_keys);
+}
+
+BOOST_AUTO_TEST_CASE(limits_on_callers_are_decoded_if_all_are_there) {
+  BOOST_TEST(!platform::DecodeConfig(kConfig)->config.caller_limits);
+  const auto decoded = platform::DecodeConfig(
+      Replace(kConfig, R"("limits":{"maxHeaderBytes":16384})",
+              R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,
+                "headerTimeoutMs":3000,"idleTimeoutMs":15000})"));
+  BOOST_TEST_REQUIRE(decoded->config.caller_limits.has_value());
+  BOOST_TEST(decoded->config.caller_limits->header_bytes == 16384U);
+  BOOST_TEST(decoded->config.caller_limits->body_bytes == 67108864U);
+  BOOST_TEST(decoded->config.caller_limits->header_timeout.count() ==
+             3'000'000);
+  BOOST_TEST(decoded->config.caller_limits->idle_timeout.count() == 15'000'000);
+}
+
 // Guards against a configuration that is applied in part.
 BOOST_AUTO_TEST_CASE(a_configuration_with_an_invalid_part_is_rejected) {
   const std::string text = kConfig;
