Customers: withdrawn API keys stop working on every VM

A VM without a recent view of the store served requests with any key of its last configuration, however old. Where the platform demands it (failClosed), requests with keys now need a confirmation: the start of a read of the store whose result this VM has applied, directly or by a round trip to a peer. The daemon's time is CLOCK_BOOTTIME, so that suspension counts. A long poll can miss a record appended during its wait, so the start of the read counts here, not the end of its wait.

Nothing is sent without customers or without the demand.

--- a/src/bambootack/customers/fwd.h
+++ b/src/bambootack/customers/fwd.h
@@ -5,6 +5,7 @@
 
 struct Customer;
 class Directory;
+class KeyConfirmation;
 
 }  // namespace bambootack::customers
 
--- a/src/bambootack/gateway/codec.cc
+++ b/src/bambootack/gateway/codec.cc
@@ -39,6 +39,16 @@
   ar(it.name, it.keys, it.rank, it.rate, it.burst);
 }
 
+template <typename A>
+void serialize(A& ar, KeyStateQuery& it) {
+  ar(it.number);
+}
+
+template <typename A>
+void serialize(A& ar, KeyStateReply& it) {
+  ar(it.number, it.config_version, it.age);
+}
+
 }  // namespace bambootack::customers
 
 namespace bambootack::gateway {
--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -24,7 +24,8 @@
       random_(seed),
       peers_(options_.vm),
       sync_(options_.vm, options_.failure_domain, options_.change_time,
-            registry_, peers_) {}
+            registry_, peers_),
+      keys_(options_.key_withdrawal_time.value_or(core::Duration{})) {}
 
 void Gateway::Configure(GatewayConfig config, core::Time now) {
   if (config.version <= routes_->Version()) {
@@ -102,6 +103,9 @@
   }
   const auto identity = routes_->Customers().Identify(request.http.headers);
   metrics_.CountKeyCheck(identity.check);
+  if (!AreKeysConfirmed(now)) {
+    return core::ErrorKind::kCustomersUnconfirmed;
+  }
   if (identity.customer != nullptr) {
     request.customer = identity.customer->name;
     request.customer_rank = identity.customer->rank;
@@ -120,7 +124,7 @@
 
 void Gateway::OnRequest(core::CallerId caller, core::HttpRequest http,
                         core::Time now) {
-  if (!HasRoutesAndServers() && !shutdown_ &&
+  if (!IsInitialized(now) && !shutdown_ &&
       early_requests_.size() < kMaxEarlyRequests) {
     early_requests_.push_back({caller, std::move(http), now});
     return;
@@ -130,7 +134,7 @@
 
 void Gateway::AdmitEarlyRequests(core::Time now) {
   while (!early_requests_.empty() &&
-         (HasRoutesAndServers() ||
+         (IsInitialized(now) ||
           early_requests_.front().arrived + kMaxEarlyWait <= now)) {
     EarlyRequest it = std::move(early_requests_.front());
     early_requests_.pop_front();
@@ -241,7 +245,34 @@
                            shutdown_->answer_by;
 }
 
+/// Asks a peer for its confirmation of the API keys when that is due, and logs
+/// when requests with API keys are refused for want of one.
+void Gateway::ConfirmKeys(core::Time now) {
+  if (!NeedsKeyConfirmation()) {
+    return;
+  }
+  if (AreKeysConfirmed(now) != keys_confirmed_) {
+    keys_confirmed_ = !keys_confirmed_;
+    const auto age = keys_.Age(now);
+    Log(keys_confirmed_ ? log::EventId::kKeysConfirmed
+                        : log::EventId::kKeysUnconfirmed,
+        fmt::format("age_ms={} version={}",
+                    age ? core::ToMilliseconds(*age) : -1, routes_->Version()));
+  }
+  const auto& peers = peers_.Peers();
+  if (peers.empty() || !keys_.IsQueryDue(now)) {
+    return;
+  }
+  core::VmId vm = sync_.StoreReaderOfDomain(now);
+  if (vm == options_.vm || keys_.UnansweredQueries() > 0) {
+    const auto step = static_cast<std::ptrdiff_t>(random_.Below(peers.size()));
+    vm = std::next(peers.begin(), step)->first;
+  }
+  actions_.emplace_back(SendToPeer{vm, keys_.StartQuery(now, random_)});
+}
+
 void Gateway::OnTimer(core::Time now) {
+  ConfirmKeys(now);
   AdmitEarlyRequests(now);
   if (shutdown_ && shutdown_->answer_by <= now) {
     AnswerRemainingRequests(now);
@@ -289,6 +320,9 @@
   if (const auto removal = registry_.NextTimer(); removal && *removal < *next) {
     next = removal;
   }
+  if (NeedsKeyConfirmation() && !peers_.Peers().empty()) {
+    next = std::min(*next, keys_.NextTimer());
+  }
   if (!early_requests_.empty()) {
     next = std::min(*next, early_requests_.front().arrived + kMaxEarlyWait);
   }
@@ -404,6 +438,9 @@
   gauges.members = peers_.FleetSize();
   gauges.config_version = routes_->Version();
   gauges.state_age = sync_.StateAge(now).value_or(core::Duration{});
+  if (NeedsKeyConfirmation()) {
+    gauges.key_age = keys_.Age(now).value_or(core::Duration{});
+  }
   gauges.ready = IsReady();
   return gauges;
 }
--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "bambootack/core/error_kind.h"
 #include "bambootack/core/random.h"
 #include "bambootack/core/table.h"
+#include "bambootack/customers/key_confirmation.h"
 #include "bambootack/gateway/graceful_shutdown.h"
 #include "bambootack/gateway/messages.h"
 #include "bambootack/gateway/metrics.h"
@@ -48,6 +49,9 @@
   /// force.
   core::Duration change_time = std::chrono::seconds(2);
   customers::HashSecret key_secret{};  ///< For hashes of API keys.
+  /// Time after which a withdrawn API key must not work on any VM. Nothing: the
+  /// API keys of the configuration in force are used however old it is.
+  std::optional<core::Duration> key_withdrawal_time;
 };
 
 /// @brief Action: transmits a request once to a backend server.
@@ -101,6 +105,10 @@
   /// platform's store.
   [[nodiscard]] StateSync& Sync() noexcept { return sync_; }
 
+  /// @brief Records that the configuration in force was the newest one when a
+  /// read of the store began.
+  void RecordConfigRead(core::Time began) { keys_.RecordStoreRead(began); }
+
   /// @brief Updates the pool of servers from the registry.
   void ApplyRegistry(core::Time now);
 
@@ -230,6 +238,19 @@
     return routes_->Version() > 0 && !registry_.Servers().empty();
   }
 
+  /// Whether API keys are in use that have to be confirmed.
+  [[nodiscard]] bool NeedsKeyConfirmation() const noexcept {
+    return options_.key_withdrawal_time && routes_->Config().requires_keys;
+  }
+  [[nodiscard]] bool AreKeysConfirmed(core::Time now) const noexcept {
+    return !NeedsKeyConfirmation() || keys_.IsValid(now);
+  }
+  /// Whether requests can be admitted since the start of the process.
+  [[nodiscard]] bool IsInitialized(core::Time now) const {
+    return HasRoutesAndServers() &&
+           (!NeedsKeyConfirmation() || keys_.Age(now).has_value());
+  }
+  void ConfirmKeys(core::Time now);
   void Admit(core::CallerId caller, core::HttpRequest http, core::Time arrived,
              core::Time now);
   void AdmitEarlyRequests(core::Time now);
@@ -247,6 +268,10 @@
   void Handle(core::VmId from, StateQuery& message, core::Time now);
   void Handle(core::VmId from, CrashNotice& message, core::Time now);
   void Handle(core::VmId from, LeavingNotice& message, core::Time now);
+  void Handle(core::VmId from, customers::KeyStateQuery& message,
+              core::Time now);
+  void Handle(core::VmId from, customers::KeyStateReply& message,
+              core::Time now);
 
   void ApplyServerNotice(const Request& request, const Attempt& attempt,
                          const ServerNotice& notice, core::Time now);
@@ -315,6 +340,8 @@
   PeerDirectory peers_;
   StateSync sync_;
   PoisonRequestDetector poison_detector_;
+  customers::KeyConfirmation keys_;
+  bool keys_confirmed_ = true;               ///< As last logged.
   std::deque<EarlyRequest> early_requests_;  ///< In order of arrival.
   core::Table<Request> requests_;
   std::unordered_map<core::CallerId, core::Handle> by_caller_;
--- a/src/bambootack/gateway/gateway_attempts.cc
+++ b/src/bambootack/gateway/gateway_attempts.cc
@@ -270,7 +270,12 @@
 void Gateway::OnSlotDecision(core::Handle handle, std::optional<Slot> slot,
                              core::VmId granter, core::Time now) {
   Request& request = *requests_.Find(handle);
-  if (slot) {
+  if (slot && !request.customer.empty() && !AreKeysConfirmed(now)) {
+    // The request may have waited, and its key may have been withdrawn.
+    ReleaseSlot(granter, slot->lease, AttemptOutcome::kCancelled, std::nullopt,
+                now);
+    KeepAttemptOrRefuse(handle, core::ErrorKind::kCustomersUnconfirmed, now);
+  } else if (slot) {
     StartAttemptInSlot(handle, *std::move(slot), granter, now);
   } else if (request.attempt ||
              (!TryNextGroup(handle, now) && !WaitForCapacity(handle, now))) {
--- a/src/bambootack/gateway/gateway_peers.cc
+++ b/src/bambootack/gateway/gateway_peers.cc
@@ -118,6 +118,19 @@
   sync_.Receive(from, message, now);
 }
 
+void Gateway::Handle(core::VmId from, customers::KeyStateQuery& message,
+                     core::Time now) {
+  if (const auto reply = keys_.Reply(message, routes_->Version(), now)) {
+    actions_.emplace_back(SendToPeer{from, *reply});
+  }
+}
+
+void Gateway::Handle(core::VmId from, customers::KeyStateReply& message,
+                     core::Time now) {
+  keys_.Receive(message, routes_->Version(), now, random_);
+  sync_.RecordPeerVersion(from, message.config_version, now);
+}
+
 void Gateway::Handle(core::VmId /*from*/, CrashNotice& message,
                      core::Time now) {
   poison_detector_.RecordCrash(message.fingerprint, message.server, now);
--- a/src/bambootack/gateway/messages.h
+++ b/src/bambootack/gateway/messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "bambootack/core/handle.h"
+#include "bambootack/customers/key_confirmation.h"
 #include "bambootack/gateway/model.h"
 #include "bambootack/gateway/server_pool.h"
 #include "bambootack/gateway/server_registry.h"
@@ -93,7 +94,8 @@
 /// @brief Any message between gateways.
 using PeerMessage =
     std::variant<SlotRequest, SlotReply, SlotRelease, MemberNotice, StateUpdate,
-                 StateQuery, CrashNotice, LeavingNotice>;
+                 StateQuery, CrashNotice, LeavingNotice,
+                 customers::KeyStateQuery, customers::KeyStateReply>;
 
 }  // namespace bambootack::gateway
 
--- a/src/bambootack/gateway/metrics.cc
+++ b/src/bambootack/gateway/metrics.cc
@@ -55,6 +55,9 @@
                                     "Version of the configuration in force."};
 constexpr MetricInfo kStateAge{"bambootack_gateway_knowledge_age_milliseconds",
                                "gauge", "Age of what is known of the store."};
+constexpr MetricInfo kKeyAge{
+    "bambootack_gateway_key_confirmation_age_milliseconds", "gauge",
+    "Age of the confirmation of API keys; 0 if none is needed."};
 constexpr MetricInfo kReady{"bambootack_gateway_ready", "gauge",
                             "1 if this VM takes traffic."};
 
@@ -75,6 +78,7 @@
                                 kMembers,
                                 kConfigVersion,
                                 kStateAge,
+                                kKeyAge,
                                 kReady};
 
 }  // namespace
@@ -129,6 +133,9 @@
   metrics::WriteValue(
       out, kStateAge,
       static_cast<std::uint64_t>(core::ToMilliseconds(gauges.state_age)));
+  metrics::WriteValue(
+      out, kKeyAge,
+      static_cast<std::uint64_t>(core::ToMilliseconds(gauges.key_age)));
   metrics::WriteValue(out, kReady, gauges.ready ? 1 : 0);
   return out;
 }
--- a/src/bambootack/gateway/metrics.h
+++ b/src/bambootack/gateway/metrics.h
@@ -24,6 +24,7 @@
   std::size_t members = 0;
   std::uint64_t config_version = 0;
   core::Duration state_age{};
+  core::Duration key_age{};  ///< 0 without a confirmation.
   bool ready = false;
 };
 
--- a/src/bambootack/gateway/state_sync.cc
+++ b/src/bambootack/gateway/state_sync.cc
@@ -283,6 +283,15 @@
   return changed;
 }
 
+void StateSync::RecordPeerVersion(core::VmId from, std::uint64_t version,
+                                  core::Time now) {
+  highest_peer_version_ = std::max(highest_peer_version_, version);
+  UpdateBehindSince(now);
+  if (version > ConfigVersion()) {
+    SendQuery(from, now);
+  }
+}
+
 /// Applies the changes of an update that leaves no gap.
 std::vector<ServerChange> StateSync::ApplyServers(const StateUpdate& update,
                                                   core::Time now) {
--- a/src/bambootack/gateway/state_sync.h
+++ b/src/bambootack/gateway/state_sync.h
@@ -74,6 +74,14 @@
     return StoreReaderOfDomain(now) == self_;
   }
 
+  /// @brief VM that reads the store for the failure domain of this VM.
+  [[nodiscard]] core::VmId StoreReaderOfDomain(core::Time now) const;
+
+  /// @brief Records that a peer has a version of the configuration. If it is
+  /// newer, this VM is behind and queries for it.
+  void RecordPeerVersion(core::VmId from, std::uint64_t version,
+                         core::Time now);
+
   /// @brief Records that the store has answered, before the answer is applied.
   /// Removals are deferred if no VM is known to have read it for long: entries
   /// may have expired meanwhile.
@@ -151,7 +159,6 @@
   static constexpr std::uint64_t kSendBytesPerSecond = 256UL * 1024;
   static constexpr std::uint64_t kSendBurstBytes = 256UL * 1024;
 
-  [[nodiscard]] core::VmId StoreReaderOfDomain(core::Time now) const;
   [[nodiscard]] core::Time StaleAt() const;
   void ConfirmState(core::VmId source, core::Time confirmed, core::Time now);
   [[nodiscard]] std::uint64_t ConfigVersion() const noexcept {
--- a/src/bambootack/log/event.cc
+++ b/src/bambootack/log/event.cc
@@ -130,6 +130,13 @@
     EventInfo{EventId::kCustomerIgnored, LogLevel::kWarning, "customer-ignored",
               "a customer of a configuration is malformed; its keys are "
               "unknown, other customers are not affected"},
+    EventInfo{EventId::kKeysUnconfirmed, LogLevel::kWarning, "keys-unconfirmed",
+              "API keys may have been withdrawn; requests with keys are "
+              "refused",
+              LineLimit::kFault},
+    EventInfo{EventId::kKeysConfirmed, LogLevel::kInfo, "keys-confirmed",
+              "API keys are confirmed; requests with keys are served",
+              LineLimit::kFault},
 };
 
 }  // namespace
--- a/src/bambootack/log/event.h
+++ b/src/bambootack/log/event.h
@@ -64,6 +64,8 @@
   kRouteTypeUnknown = 720,
   kCustomerUnknown = 721,
   kCustomerIgnored = 722,
+  kKeysUnconfirmed = 723,
+  kKeysConfirmed = 724,
 };
 
 /// @brief How often an event is written; see `LineLimiter`.
--- a/src/gateway/identity.cc
+++ b/src/gateway/identity.cc
@@ -45,6 +45,9 @@
   options.retry_ratio = limits.retry_ratio;
   options.retry_burst = limits.retry_burst;
   options.retry_window = limits.retry_window;
+  if (limits.keys_fail_closed) {
+    options.key_withdrawal_time = limits.key_withdrawal_time;
+  }
   options.change_time = std::min(limits.drain_time, limits.config_time);
   randombytes_buf(options.key_secret.data(), options.key_secret.size());
   return options;
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -4,6 +4,7 @@
 
 #include <asio.hpp>
 #include <chrono>
+#include <ctime>
 #include <optional>
 #include <random>
 #include <utility>
@@ -55,17 +56,14 @@
 /// Ids of requests to the store, in a range that ids of attempts do not reach.
 constexpr std::uint64_t kFirstStoreRequestId = 1ULL << 62;
 
-core::Time FromSteady(std::chrono::steady_clock::time_point time) {
-  return core::Time(
-      std::chrono::duration_cast<core::Duration>(time.time_since_epoch()));
-}
-
-core::Time Now() { return FromSteady(std::chrono::steady_clock::now()); }
-
-std::chrono::steady_clock::time_point ToSteady(core::Time time) {
-  return std::chrono::steady_clock::time_point(
-      std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-          time.time_since_epoch()));
+/// Time since the boot of the VM. Unlike the steady clock it includes
+/// suspension, in which leases run out and API keys may be withdrawn.
+core::Time Now() {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return core::Time(std::chrono::duration_cast<core::Duration>(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 }  // namespace
@@ -260,11 +258,11 @@
       timer_.cancel();
       return;
     }
-    timer_.expires_at(ToSteady(std::max(*next, now)));
-    timer_.async_wait([this](std::error_code ec) {
+    const core::Time expiry = std::max(*next, now);
+    timer_.expires_after(expiry - now);
+    timer_.async_wait([this, expiry](std::error_code ec) {
       if (!ec) {
-        gateway_.Metrics().ObserveTimerDelay(Now() -
-                                             FromSteady(timer_.expiry()));
+        gateway_.Metrics().ObserveTimerDelay(Now() - expiry);
         ProcessEvents();
       }
     });
--- a/test/bambootack/gateway/gateway_fixture.h
+++ b/test/bambootack/gateway/gateway_fixture.h
@@ -15,7 +15,11 @@
 
 /// Gateway in simulated time with four servers of one service.
 struct GatewayFixture {
-  explicit GatewayFixture(core::VmId vm = kSelf) : gateway(Options(vm), 7) {
+  explicit GatewayFixture(core::VmId vm = kSelf)
+      : GatewayFixture(Options(vm)) {}
+
+  explicit GatewayFixture(GatewayOptions options)
+      : gateway(std::move(options), 7) {
     for (int i = 0; i < 4; ++i) {
       AddServer(i);
     }
--- a/test/platform/fleet_limits_test.cc
+++ b/test/platform/fleet_limits_test.cc
@@ -70,6 +70,30 @@
              boost::test_tools::per_element());
 }
 
+// Guards against withdrawn API keys and quotas that are not enforced because
+// their limits were not read.
+BOOST_AUTO_TEST_CASE(limits_of_customers_are_read_where_they_are_stated) {
+  const std::string text =
+      Replace(kBounds, R"("recoveryS":15)",
+              R"("recoveryS":15,"failClosed":true,"revokeMs":4000,)"
+              R"("quotaWindowS":6,"quotaOvershoot":0.2,"quotaSlack":30)");
+  const auto parsed = platform::ParseFleetLimits(text);
+  BOOST_TEST(parsed.notices.empty());
+  BOOST_TEST(parsed.limits.keys_fail_closed);
+  BOOST_TEST((parsed.limits.key_withdrawal_time == milliseconds(4000)));
+  BOOST_TEST((parsed.limits.quota_window == milliseconds(6000)));
+  BOOST_TEST(parsed.limits.quota_overshoot == 0.2);
+  BOOST_TEST(parsed.limits.quota_slack == 30.0);
+  BOOST_TEST(platform::ParseFleetLimits(Replace(text, "\"failClosed\":true",
+                                                "\"failClosed\":\"true\""))
+                 .limits.keys_fail_closed);
+  BOOST_TEST(!platform::ParseFleetLimits(kBounds).limits.keys_fail_closed);
+  BOOST_TEST(NoticesOf(Replace(text, "\"failClosed\":true",
+                               "\"failClosed\":\"yes\"")) ==
+                 std::vector<std::string>{"failClosed:unreadable:0"},
+             boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(a_text_that_is_no_object_is_reported_and_defaults_hold) {
   for (const std::string text :
        {"graceS=6,drainMs=2000", "[1]", "{", "7", ""}) {
