Quotas: one owner per shard of customers grants tokens for the whole fleet

Each VM now lends its equal share of a shard's quotas to one owner, which answers token requests with a bucket scaled by the shares it holds. Leases count from a stamp of the owner's clock, so that neither delayed messages nor pauses extend them, and the sum of all owners stays within the quota. The token is requested together with the slot; a customer that was refused lately asks for the slot afterwards.

Without customers that have a quota nothing is sent.

--- a/src/bambootack/core/error_kind.cc
+++ b/src/bambootack/core/error_kind.cc
@@ -60,6 +60,8 @@
      Repeat::kNever, false, "no customer has the API key of the request"},
     {ErrorKind::kCustomersUnconfirmed, "customers-unconfirmed", 503, kNotRun,
      Repeat::kSameKey, true, "this VM cannot confirm API keys at present"},
+    {ErrorKind::kQuotaUnavailable, "quota-unavailable", 503, kNotRun,
+     Repeat::kNewKey, true, "the quota of the customer cannot be checked"},
     {ErrorKind::kTicketMalformed, "ticket-malformed", 400, kNotRun,
      Repeat::kNever, false, "the change ticket is not valid"},
     {ErrorKind::kTicketStale, "ticket-stale", 409, kNotRun, Repeat::kNever,
--- a/src/bambootack/core/error_kind.h
+++ b/src/bambootack/core/error_kind.h
@@ -38,6 +38,7 @@
   kUnauthorized,
   kCustomerUnknown,
   kCustomersUnconfirmed,
+  kQuotaUnavailable,
   kTicketMalformed,
   kTicketStale,
   kTicketConflict,
--- a/src/bambootack/customers/directory.cc
+++ b/src/bambootack/customers/directory.cc
@@ -42,7 +42,8 @@
     for (const std::string& key : it.keys) {
       by_key_.try_emplace(HashOf(key), entries_.size());
     }
-    entries_.push_back({it.name, it.rank});
+    entries_.push_back({it.name, it.rank, it.rate, it.burst});
+    has_quotas_ = has_quotas_ || it.rate > 0.0;
   }
 }
 
--- a/src/bambootack/customers/directory.h
+++ b/src/bambootack/customers/directory.h
@@ -43,6 +43,8 @@
   struct Entry {
     std::string name;
     int rank = 0;
+    double rate = 0.0;  ///< Quota in requests per second; 0 for no limit.
+    double burst = 0.0;
   };
 
   /// @brief Result of `Identify`.
@@ -57,6 +59,9 @@
   /// @param customers Customers; of those that share a key the first holds it.
   Directory(const std::vector<Customer>& customers, const HashSecret& secret);
 
+  /// @brief Whether any customer has a quota.
+  [[nodiscard]] bool HasQuotas() const noexcept { return has_quotas_; }
+
   /// @brief Finds the customer of a request by its `Authorization` field.
   [[nodiscard]] Identity Identify(const core::Headers& headers) const;
 
@@ -69,6 +74,7 @@
 
   HashSecret secret_{};
   std::vector<Entry> entries_;
+  bool has_quotas_ = false;
   std::unordered_map<KeyHash, std::size_t, HashOfHash> by_key_;
 };
 
--- a/src/bambootack/gateway/codec.cc
+++ b/src/bambootack/gateway/codec.cc
@@ -51,6 +51,45 @@
 
 }  // namespace bambootack::customers
 
+namespace bambootack::quota {
+
+template <typename A>
+void serialize(A& ar, Stamp& it) {
+  ar(it.incarnation, it.time);
+}
+
+template <typename A>
+void serialize(A& ar, Quota& it) {
+  ar(it.rate, it.burst);
+}
+
+template <typename A>
+void serialize(A& ar, TokenRequest& it) {
+  ar(it.number, it.customer, it.quota, it.stamp);
+}
+
+template <typename A>
+void serialize(A& ar, TokenReply& it) {
+  ar(it.number, it.shard, it.granted, it.exhausted, it.wait, it.stamp);
+}
+
+template <typename A>
+void serialize(A& ar, LeaseNotice& it) {
+  ar(it.shard, it.stamp);
+}
+
+template <typename A>
+void serialize(A& ar, LeaseReply& it) {
+  ar(it.shard, it.stamp);
+}
+
+template <typename A>
+void serialize(A& ar, TokenReturn& it) {
+  ar(it.customer);
+}
+
+}  // namespace bambootack::quota
+
 namespace bambootack::gateway {
 
 template <typename A>
--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -25,7 +25,8 @@
       peers_(options_.vm),
       sync_(options_.vm, options_.failure_domain, options_.change_time,
             registry_, peers_),
-      keys_(options_.key_withdrawal_time.value_or(core::Duration{})) {}
+      keys_(options_.key_withdrawal_time.value_or(core::Duration{})),
+      quota_owner_(options_.quota_tolerance, random_.Engine()() | 1U) {}
 
 void Gateway::Configure(GatewayConfig config, core::Time now) {
   if (config.version <= routes_->Version()) {
@@ -37,6 +38,7 @@
   registry_.SetServices({config.services.begin(), config.services.end()});
   routes_ = std::make_shared<const RouteTable>(std::move(config),
                                                options_.key_secret);
+  ApplyQuotas();
   sync_.UpdateConfig(routes_->Config(), now);
   pool_.Update(registry_, now);
 }
@@ -98,6 +100,7 @@
                                                          core::Time now) {
   request.customer.clear();
   request.customer_rank = 0;
+  request.quota = {};
   if (!routes_->Config().requires_keys || request.route->exempt) {
     return std::nullopt;
   }
@@ -109,6 +112,7 @@
   if (identity.customer != nullptr) {
     request.customer = identity.customer->name;
     request.customer_rank = identity.customer->rank;
+    request.quota = {identity.customer->rate, identity.customer->burst};
     return std::nullopt;
   }
   Log(log::EventId::kCustomerUnknown,
@@ -196,7 +200,14 @@
     Refuse(handle, core::ErrorKind::kShuttingDown, now);
     return;
   }
-  RequestSlot(handle, now);
+  if (requests_.Find(handle)->quota.rate > 0.0) {
+    RequestToken(handle, now);
+  }
+  const Request* admitted = requests_.Find(handle);
+  if (admitted != nullptr && !admitted->slot_after_token &&
+      admitted->slot_requests == 0) {
+    RequestSlot(handle, now);
+  }
 }
 
 void Gateway::OnCallerDisconnected(core::CallerId caller, core::Time now) {
@@ -212,6 +223,7 @@
       fmt::format("request={} sending={}", Truncate(request.id),
                   request.attempt.has_value()));
   CancelAttemptOf(request, AttemptOutcome::kCancelled, now);
+  GiveUpToken(request, now);
   Erase(handle);
 }
 
@@ -291,6 +303,10 @@
           fmt::format("request={} vm={}", Truncate(request.id),
                       static_cast<std::uint32_t>(*request.awaited_dispatcher)));
       ChooseLocally(handle, now);
+    } else if (request.token == TokenState::kPending &&
+               now >=
+                   std::min(request.token_retry_at, request.token_deadline)) {
+      OnTokenTimer(handle, now);
     } else if (request.next_slot_request && now >= *request.next_slot_request) {
       request.next_slot_request.reset();
       RequestSlot(handle, now);
@@ -301,6 +317,7 @@
       UpdateTimer(handle, request);
     }
   }
+  RenewLoans(now);
   sync_.OnTimer(now, random_);
   pool_.ExpireLeases(now);
   const std::vector<std::string> removed = registry_.ApplyDueRemovals(now);
@@ -323,6 +340,11 @@
   if (NeedsKeyConfirmation() && !peers_.Peers().empty()) {
     next = std::min(*next, keys_.NextTimer());
   }
+  if (routes_->Customers().HasQuotas()) {
+    for (std::uint32_t i = 0; i < quota::kShards; ++i) {
+      next = std::min(*next, lender_.RenewalTime(i));
+    }
+  }
   if (!early_requests_.empty()) {
     next = std::min(*next, early_requests_.front().arrived + kMaxEarlyWait);
   }
@@ -352,7 +374,8 @@
 
 void Gateway::Refuse(core::Handle handle, core::ErrorKind kind, core::Time now,
                      core::Duration wait) {
-  const Request& request = *requests_.Find(handle);
+  Request& request = *requests_.Find(handle);
+  GiveUpToken(request, now);
   // A status that promises "not executed" holds only if no server may have
   // executed the request.
   const bool may_have_executed = request.possible_executions > 0;
@@ -389,6 +412,9 @@
   if (request.attempt) {
     next = std::min(next, request.attempt_deadline);
   }
+  if (request.token == TokenState::kPending) {
+    next = std::min({next, request.token_retry_at, request.token_deadline});
+  }
   if (request.next_slot_request) {
     next = std::min(next, *request.next_slot_request);
   }
@@ -400,6 +426,7 @@
 void Gateway::Erase(core::Handle handle) {
   const Request& request = *requests_.Find(handle);
   by_caller_.erase(request.caller);
+  by_token_.erase(request.token_number);
   by_timer_.erase({request.next_timer, handle});
   if (request.attempt) {
     by_attempt_.erase(request.attempt->id);
@@ -431,7 +458,7 @@
   ReportCrashes(now);
 }
 
-GatewayGauges Gateway::Gauges(core::Time now) const {
+GatewayGauges Gateway::Gauges(core::Time now) {
   GatewayGauges gauges;
   gauges.in_flight = InFlight();
   gauges.servers = registry_.Servers().size();
@@ -441,6 +468,9 @@
   if (NeedsKeyConfirmation()) {
     gauges.key_age = keys_.Age(now).value_or(core::Duration{});
   }
+  for (std::uint32_t i = 0; i < quota::kShards; ++i) {
+    gauges.quota_shares += quota_owner_.ShareOf(i, now);
+  }
   gauges.ready = IsReady();
   return gauges;
 }
--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -33,6 +33,8 @@
 #include "bambootack/log/event.h"
 #include "bambootack/node/actions.h"
 #include "bambootack/node/events.h"
+#include "bambootack/quota/lender.h"
+#include "bambootack/quota/owner.h"
 
 namespace bambootack::gateway {
 
@@ -52,6 +54,7 @@
   /// Time after which a withdrawn API key must not work on any VM. Nothing: the
   /// API keys of the configuration in force are used however old it is.
   std::optional<core::Duration> key_withdrawal_time;
+  quota::Tolerance quota_tolerance;
 };
 
 /// @brief Action: transmits a request once to a backend server.
@@ -171,7 +174,7 @@
   [[nodiscard]] GatewayMetrics& Metrics() noexcept { return metrics_; }
 
   /// @brief Current values of the gauges among the metrics.
-  [[nodiscard]] GatewayGauges Gauges(core::Time now) const;
+  [[nodiscard]] GatewayGauges Gauges(core::Time now);
 
   /// @brief Returns and clears the pending actions, in the order in which they
   /// are to be performed.
@@ -185,6 +188,15 @@
     core::Time started{};
   };
 
+  /// Slot that was granted before the token of its request.
+  struct HeldSlot {
+    Slot slot;
+    core::VmId granter{};
+  };
+
+  /// Whether a request may run by the quota of its customer.
+  enum class TokenState : std::uint8_t { kNotNeeded, kPending, kGranted };
+
   struct Request {
     core::CallerId caller{};
     core::HttpRequest http;
@@ -196,6 +208,14 @@
     std::string service;
     std::string customer;  ///< Empty if the request needs no API key.
     int customer_rank = 0;
+    quota::Quota quota;  ///< Of the customer; a rate of 0 is no limit.
+    TokenState token = TokenState::kNotNeeded;
+    std::uint64_t token_number = 0;
+    core::Time token_retry_at{};  ///< When the token is requested again.
+    core::Time token_deadline{};  ///< When the request is refused without one.
+    bool slot_after_token = false;  ///< The slot is requested afterwards.
+    std::optional<HeldSlot> held_slot;
+    bool attempted = false;  ///< An attempt has been started.
     core::Time arrived{};
     core::Time deadline{};
     /// Slot requests so far; the number of the latest one.
@@ -272,6 +292,24 @@
               core::Time now);
   void Handle(core::VmId from, customers::KeyStateReply& message,
               core::Time now);
+  void Handle(core::VmId from, quota::TokenRequest& message, core::Time now);
+  void Handle(core::VmId from, quota::TokenReply& message, core::Time now);
+  void Handle(core::VmId from, quota::LeaseNotice& message, core::Time now);
+  void Handle(core::VmId from, quota::LeaseReply& message, core::Time now);
+  void Handle(core::VmId from, quota::TokenReturn& message, core::Time now);
+
+  [[nodiscard]] quota::Lender::Target ChooseQuotaOwner(std::uint32_t shard,
+                                                       core::Time now);
+  void ApplyQuotas();
+  void RenewLoans(core::Time now);
+  void RequestToken(core::Handle handle, core::Time now);
+  void SendTokenRequest(core::Handle handle, core::Time now);
+  void OnTokenReply(core::VmId from, const quota::TokenReply& reply,
+                    core::Time now);
+  void OnTokenTimer(core::Handle handle, core::Time now);
+  void GiveUpToken(Request& request, core::Time now);
+  [[nodiscard]] bool WasRefusedLately(const std::string& customer,
+                                      core::Time now) const;
 
   void ApplyServerNotice(const Request& request, const Attempt& attempt,
                          const ServerNotice& notice, core::Time now);
@@ -341,11 +379,17 @@
   StateSync sync_;
   PoisonRequestDetector poison_detector_;
   customers::KeyConfirmation keys_;
+  quota::Lender lender_;
+  quota::Owner quota_owner_;
+  /// When customers were last refused for their quota.
+  std::map<std::string, core::Time, std::less<>> refused_at_;
+  std::uint64_t last_token_ = 0;
   bool keys_confirmed_ = true;               ///< As last logged.
   std::deque<EarlyRequest> early_requests_;  ///< In order of arrival.
   core::Table<Request> requests_;
   std::unordered_map<core::CallerId, core::Handle> by_caller_;
   std::unordered_map<std::uint64_t, core::Handle> by_attempt_;
+  std::unordered_map<std::uint64_t, core::Handle> by_token_;
   std::set<std::pair<core::Time, core::Handle>> by_timer_;
   std::map<std::string, core::Time, std::less<>> unreachable_until_;
   /// Ends of the pauses that servers want from this VM.
--- a/src/bambootack/gateway/gateway_attempts.cc
+++ b/src/bambootack/gateway/gateway_attempts.cc
@@ -275,6 +275,9 @@
     ReleaseSlot(granter, slot->lease, AttemptOutcome::kCancelled, std::nullopt,
                 now);
     KeepAttemptOrRefuse(handle, core::ErrorKind::kCustomersUnconfirmed, now);
+  } else if (slot && request.token == TokenState::kPending) {
+    request.held_slot = HeldSlot{*std::move(slot), granter};
+    UpdateTimer(handle, request);
   } else if (slot) {
     StartAttemptInSlot(handle, *std::move(slot), granter, now);
   } else if (request.attempt ||
@@ -341,6 +344,7 @@
   by_attempt_[id] = handle;
   request.attempt = Attempt{id, std::move(slot), granter, now};
   ++request.attempts;
+  request.attempted = true;
   ++request.possible_executions;
   LimitAttempt(handle, now);
 }
--- a/src/bambootack/gateway/gateway_peers.cc
+++ b/src/bambootack/gateway/gateway_peers.cc
@@ -71,6 +71,7 @@
     return;
   }
   peers_.RecordStart(from);
+  quota_owner_.RecordRestart(from);
   if (peers_.Add({from, {}, message.address, message.failure_domain})) {
     actions_.emplace_back(SetMembers{peers_.ListPeers()});
   }
@@ -88,6 +89,7 @@
 
 void Gateway::BeginShutdown(const ShutdownSchedule& schedule) {
   shutdown_ = schedule;
+  quota_owner_.Stop();
   for (const auto& [vm, member] : peers_.Peers()) {
     actions_.emplace_back(SendToPeer{
         vm,
--- a/src/bambootack/gateway/messages.h
+++ b/src/bambootack/gateway/messages.h
@@ -12,6 +12,7 @@
 #include "bambootack/gateway/model.h"
 #include "bambootack/gateway/server_pool.h"
 #include "bambootack/gateway/server_registry.h"
+#include "bambootack/quota/messages.h"
 
 namespace bambootack::gateway {
 
@@ -95,7 +96,9 @@
 using PeerMessage =
     std::variant<SlotRequest, SlotReply, SlotRelease, MemberNotice, StateUpdate,
                  StateQuery, CrashNotice, LeavingNotice,
-                 customers::KeyStateQuery, customers::KeyStateReply>;
+                 customers::KeyStateQuery, customers::KeyStateReply,
+                 quota::TokenRequest, quota::TokenReply, quota::LeaseNotice,
+                 quota::LeaseReply, quota::TokenReturn>;
 
 }  // namespace bambootack::gateway
 
--- a/src/bambootack/gateway/metrics.cc
+++ b/src/bambootack/gateway/metrics.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
+#include <vector>
 
 #include "bambootack/metrics/text.h"
 
@@ -15,6 +17,12 @@
 /// Priorities of this value and above share one histogram.
 constexpr int kLastLatencyBucketPriority = 9;
 
+/// Customers that are counted, and those that have a time series of their own.
+constexpr std::size_t kMaxCountedCustomers = 4096;
+constexpr std::size_t kNamedCustomers = 16;
+
+constexpr double kPercent = 100.0;
+
 constexpr MetricInfo kAnswers{"bambootack_gateway_answers_total", "counter",
                               "Answers to callers."};
 constexpr MetricInfo kAttempts{"bambootack_gateway_sends_total", "counter",
@@ -24,6 +32,15 @@
                                     "Changes of trust in backend servers."};
 constexpr MetricInfo kKeyChecks{"bambootack_gateway_key_checks_total",
                                 "counter", "Checks of API keys of callers."};
+constexpr MetricInfo kTokens{
+    "bambootack_gateway_quota_tokens_total", "counter",
+    "Requests granted or refused by the quota of their customer."};
+constexpr MetricInfo kTokenTimeouts{
+    "bambootack_gateway_quota_timeouts_total", "counter",
+    "Requests refused because the owner of their quota did not answer."};
+constexpr MetricInfo kQuotaShares{
+    "bambootack_gateway_quota_shares_percent", "gauge",
+    "Shares of quotas that this VM grants, in percent of a whole shard."};
 constexpr MetricInfo kDispatcherTimeouts{
     "bambootack_gateway_silent_dispatchers_total", "counter",
     "Slots that a dispatcher did not grant in time."};
@@ -61,25 +78,13 @@
 constexpr MetricInfo kReady{"bambootack_gateway_ready", "gauge",
                             "1 if this VM takes traffic."};
 
-constexpr std::array kCatalogue{kAnswers,
-                                kAttempts,
-                                kHealthChanges,
-                                kKeyChecks,
-                                kDispatcherTimeouts,
-                                kStoreCalls,
-                                kPeerBytes,
-                                kLeavingServers,
-                                kServerPauses,
-                                kLatency,
-                                kSlotWait,
-                                kTimerDelay,
-                                kInFlight,
-                                kServers,
-                                kMembers,
-                                kConfigVersion,
-                                kStateAge,
-                                kKeyAge,
-                                kReady};
+constexpr std::array kCatalogue{
+    kAnswers,     kAttempts,       kHealthChanges,      kKeyChecks,
+    kTokens,      kTokenTimeouts,  kDispatcherTimeouts, kStoreCalls,
+    kPeerBytes,   kLeavingServers, kServerPauses,       kLatency,
+    kSlotWait,    kTimerDelay,     kInFlight,           kServers,
+    kMembers,     kConfigVersion,  kStateAge,           kKeyAge,
+    kQuotaShares, kReady};
 
 }  // namespace
 
@@ -102,6 +107,33 @@
                             customers::kKeyCheckNames.Name(check))];
 }
 
+void GatewayMetrics::CountToken(const std::string& customer, bool granted) {
+  const bool known = tokens_.contains(customer);
+  TokenCounts& counts =
+      tokens_[known || tokens_.size() < kMaxCountedCustomers ? customer : ""];
+  ++(granted ? counts.granted : counts.refused);
+}
+
+/// Writes the customers with the most requests by name, and the rest together.
+void GatewayMetrics::WriteTokens(std::string& out) const {
+  std::vector<std::pair<std::string, TokenCounts>> rows(tokens_.begin(),
+                                                        tokens_.end());
+  std::sort(rows.begin(), rows.end(), [](const auto& a, const auto& b) {
+    return a.second.granted + a.second.refused >
+           b.second.granted + b.second.refused;
+  });
+  Counts counts;
+  for (std::size_t i = 0; i < rows.size(); ++i) {
+    const std::string name = i < kNamedCustomers && !rows[i].first.empty()
+                                 ? rows[i].first
+                                 : "others";
+    const auto& [granted, refused] = rows[i].second;
+    counts[fmt::format("customer=\"{}\",result=\"granted\"", name)] += granted;
+    counts[fmt::format("customer=\"{}\",result=\"refused\"", name)] += refused;
+  }
+  metrics::WriteCounts(out, kTokens, counts);
+}
+
 void GatewayMetrics::ObserveLatency(int priority, core::Duration value) {
   latency_[std::min(priority, kLastLatencyBucketPriority)].Observe(value);
 }
@@ -112,6 +144,8 @@
   metrics::WriteCounts(out, kAttempts, attempts_);
   metrics::WriteCounts(out, kHealthChanges, health_changes_);
   metrics::WriteCounts(out, kKeyChecks, key_checks_);
+  WriteTokens(out);
+  metrics::WriteValue(out, kTokenTimeouts, token_timeouts_);
   metrics::WriteValue(out, kDispatcherTimeouts, dispatcher_timeouts_);
   metrics::WriteValue(out, kStoreCalls, store_calls_);
   metrics::WriteValue(out, kPeerBytes, peer_bytes_);
@@ -136,6 +170,9 @@
   metrics::WriteValue(
       out, kKeyAge,
       static_cast<std::uint64_t>(core::ToMilliseconds(gauges.key_age)));
+  metrics::WriteValue(
+      out, kQuotaShares,
+      static_cast<std::uint64_t>(gauges.quota_shares * kPercent));
   metrics::WriteValue(out, kReady, gauges.ready ? 1 : 0);
   return out;
 }
--- a/src/bambootack/gateway/metrics.h
+++ b/src/bambootack/gateway/metrics.h
@@ -24,7 +24,8 @@
   std::size_t members = 0;
   std::uint64_t config_version = 0;
   core::Duration state_age{};
-  core::Duration key_age{};  ///< 0 without a confirmation.
+  double quota_shares = 0.0;  ///< Sum over the shards, of `quota::kShards`.
+  core::Duration key_age{};   ///< 0 without a confirmation.
   bool ready = false;
 };
 
@@ -48,6 +49,12 @@
   /// @brief Counts the result of the check of an API key.
   void CountKeyCheck(customers::KeyCheck check);
 
+  /// @brief Counts the decision on a token of a customer's quota.
+  void CountToken(const std::string& customer, bool granted);
+
+  /// @brief Counts a request whose token could not be decided on in time.
+  void CountTokenTimeout() noexcept { ++token_timeouts_; }
+
   /// @brief Counts a slot request that the dispatcher did not answer in time.
   void CountDispatcherTimeout() noexcept { ++dispatcher_timeouts_; }
 
@@ -78,12 +85,20 @@
   [[nodiscard]] std::string Text(const GatewayGauges& gauges) const;
 
  private:
+  void WriteTokens(std::string& out) const;
+
   using Counts = std::map<std::string, std::uint64_t, std::less<>>;
 
   Counts answers_;
   Counts attempts_;
   Counts health_changes_;
   Counts key_checks_;
+  struct TokenCounts {
+    std::uint64_t granted = 0;
+    std::uint64_t refused = 0;
+  };
+  std::map<std::string, TokenCounts, std::less<>> tokens_;
+  std::uint64_t token_timeouts_ = 0;
   std::uint64_t dispatcher_timeouts_ = 0;
   std::uint64_t store_calls_ = 0;
   std::uint64_t peer_bytes_ = 0;
--- a/src/bambootack/log/event.cc
+++ b/src/bambootack/log/event.cc
@@ -137,6 +137,14 @@
     EventInfo{EventId::kKeysConfirmed, LogLevel::kInfo, "keys-confirmed",
               "API keys are confirmed; requests with keys are served",
               LineLimit::kFault},
+    EventInfo{EventId::kQuotaExhausted, LogLevel::kInfo, "quota-exhausted",
+              "a customer has used its quota; its request is refused",
+              LineLimit::kRequest},
+    EventInfo{EventId::kQuotaOwnerSilent, LogLevel::kWarning,
+              "quota-owner-silent",
+              "the VM that grants the quota of a customer did not answer in "
+              "time; the request is refused",
+              LineLimit::kRequest},
 };
 
 }  // namespace
--- a/src/bambootack/log/event.h
+++ b/src/bambootack/log/event.h
@@ -66,6 +66,8 @@
   kCustomerIgnored = 722,
   kKeysUnconfirmed = 723,
   kKeysConfirmed = 724,
+  kQuotaExhausted = 725,
+  kQuotaOwnerSilent = 726,
 };
 
 /// @brief How often an event is written; see `LineLimiter`.
--- /dev/null
+++ b/src/bambootack/quota/token_bucket.cc
@@ -0,0 +1,56 @@
+#include "bambootack/quota/token_bucket.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace bambootack::quota {
+namespace {
+
+/// Callers return after a third of their remaining time at the latest, a few
+/// seconds. Promises beyond this time start over.
+constexpr core::Duration kMaxPromise = std::chrono::seconds(4);
+constexpr core::Duration kMinPromise = std::chrono::milliseconds(20);
+
+}  // namespace
+
+void TokenBucket::Update(double rate, double capacity, core::Time now) {
+  if (now > updated_at_) {
+    tokens_ += rate_ * std::chrono::duration<double>(now - updated_at_).count();
+    updated_at_ = now;
+  }
+  // The former capacity bounds what was added at the former rate.
+  tokens_ = std::min({tokens_, capacity_, capacity});
+  rate_ = rate;
+  capacity_ = capacity;
+}
+
+void TokenBucket::Fill(double tokens, double capacity) {
+  tokens_ = std::min(tokens, capacity);
+  capacity_ = capacity;
+}
+
+bool TokenBucket::TryTake() noexcept {
+  if (tokens_ < 1.0) {
+    return false;
+  }
+  tokens_ -= 1.0;
+  return true;
+}
+
+void TokenBucket::Return() noexcept {
+  tokens_ = std::min(tokens_ + 1.0, capacity_);
+}
+
+core::Duration TokenBucket::PromiseToken(core::Time now) {
+  if (rate_ <= 0.0) {
+    return kMaxPromise;
+  }
+  const auto interval = std::chrono::duration_cast<core::Duration>(
+      std::chrono::duration<double>(std::min(1.0 / rate_, 4.0)));
+  const core::Time next = std::max(promised_until_, now) + interval;
+  promised_until_ = next > now + kMaxPromise ? now + interval : next;
+  return std::max(kMinPromise, std::chrono::duration_cast<core::Duration>(
+                                   promised_until_ - now));
+}
+
+}  // namespace bambootack::quota
--- a/src/gateway/identity.cc
+++ b/src/gateway/identity.cc
@@ -48,6 +48,7 @@
   if (limits.keys_fail_closed) {
     options.key_withdrawal_time = limits.key_withdrawal_time;
   }
+  options.quota_tolerance = {limits.quota_overshoot, limits.quota_slack};
   options.change_time = std::min(limits.drain_time, limits.config_time);
   randombytes_buf(options.key_secret.data(), options.key_secret.size());
   return options;
