--- a/bench/scenario/process.h
+++ b/bench/scenario/process.h
@@ -38,6 +38,9 @@
   /// @return True if so.
   [[nodiscard]] bool IsRunning();
 
+  /// @brief Id of the process while it runs.
+  [[nodiscard]] pid_t Id() const noexcept { return pid_; }
+
   /// @brief Reads its use of resources.
   /// @return The use so far, zero after the end.
   [[nodiscard]] Usage ReadUsage() const;
--- a/src/bambootack/gateway/settings.cc
+++ b/src/bambootack/gateway/settings.cc
@@ -13,6 +13,8 @@
 using toml_reader::Reader;
 
 constexpr std::int64_t kMaxStopMs = 3'600'000;
+constexpr std::int64_t kMaxMemoryMb = 1'048'576;
+constexpr std::int64_t kMaxDescriptors = 10'000'000;
 
 GatewaySettings ReadSettings(Reader& reader) {
   GatewaySettings result;
@@ -24,6 +26,9 @@
   result.peer_address = Address(reader, "peer_address");
   result.store_address = Address(reader, "store_address");
   result.platform_bounds = reader.String("platform_bounds", "");
+  result.memory_mb = reader.Integer("memory_mb", 0, kMaxMemoryMb, 0);
+  result.max_descriptors =
+      reader.Integer("max_descriptors", 0, kMaxDescriptors, 0);
   result.first_start = reader.Boolean("first_start", false);
   result.log_level =
       reader.Enum("log_level", settings::kLogLevelNames, &result.log_level);
--- a/src/bambootack/gateway/settings.h
+++ b/src/bambootack/gateway/settings.h
@@ -2,6 +2,7 @@
 #define BAMBOOTACK_GATEWAY_SETTINGS_H_
 
 #include <boost/leaf/result.hpp>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,6 +22,8 @@
   std::string peer_address;      ///< IP:port for peers.
   std::string store_address;     ///< IP:port of the platform's store.
   std::string platform_bounds;   ///< Limits in the platform's own format.
+  std::int64_t memory_mb = 0;        ///< Memory of the VM; 0: not known.
+  std::int64_t max_descriptors = 0;  ///< Of the process; 0: not known.
   bool first_start = false;      ///< The whole fleet starts for the first time.
   settings::LogLevel log_level = settings::LogLevel::kInfo;
   /// Time that a graceful shutdown may take; absent or 0 in the
