HTTP server: bodies of callers take their memory from one account

Nothing bounded the bodies of all requests together, and each was held about 3.3 times; connections were bounded by 4,096 only.

A body now reserves its announced length before it is read, a chunked one step by step. What does not fit is refused with 503; incomplete bodies without progress for a second lose their memory to others, and their connections get 408. Small bodies have a part of their own. Large bodies are shared between the parser and the attempts. The limit on bodies of the configuration is applied, with 413. Beyond the connections for which there are descriptors and memory, the one without a request for longest is closed. Blocks of 128 KB and more are returned to the system when they are freed.

--- a/src/bambootack/core/error_kind.cc
+++ b/src/bambootack/core/error_kind.cc
@@ -28,6 +28,8 @@
      false, "the Idempotency-Key was used for another request"},
     {ErrorKind::kBodyTooLarge, "body-too-large", 413, kNotRun, Repeat::kNever,
      false, "the body exceeds the limit"},
+    {ErrorKind::kRequestTimeout, "request-timeout", 408, kNotRun,
+     Repeat::kNewKey, false, "the request did not arrive in time"},
     {ErrorKind::kNotReady, "not-ready", 503, kNotRun, Repeat::kSameKey, true,
      "this VM has no configuration yet"},
     {ErrorKind::kOverloaded, "overloaded", 503, kNotRun, Repeat::kNewKey, true,
--- a/src/bambootack/core/error_kind.h
+++ b/src/bambootack/core/error_kind.h
@@ -22,6 +22,7 @@
   kKeyExpired,
   kKeyMismatch,
   kBodyTooLarge,
+  kRequestTimeout,
   kNotReady,
   kOverloaded,
   kRateLimited,
--- a/src/bambootack/core/http_message.h
+++ b/src/bambootack/core/http_message.h
@@ -1,6 +1,7 @@
 #ifndef BAMBOOTACK_CORE_HTTP_MESSAGE_H_
 #define BAMBOOTACK_CORE_HTTP_MESSAGE_H_
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,6 +26,14 @@
   std::string target;
   Headers headers;
   std::string body;
+  /// Holds a large body in place of `body`, so that copies of the request share
+  /// it. May be null.
+  std::shared_ptr<const std::string> shared_body;
+
+  /// @brief The body, wherever it is held.
+  [[nodiscard]] const std::string& Body() const noexcept {
+    return shared_body ? *shared_body : body;
+  }
 
   friend bool operator==(const HttpRequest&, const HttpRequest&) = default;
 };
--- a/src/bambootack/gateway/poison_request_detector.cc
+++ b/src/bambootack/gateway/poison_request_detector.cc
@@ -22,7 +22,7 @@
 std::uint64_t FingerprintOf(const core::HttpRequest& http) {
   const auto host = core::FindHeader(http.headers, "Host").value_or("");
   return core::HashBytes(
-      http.body,
+      http.Body(),
       core::HashBytes(http.target,
                       core::HashBytes(http.method, core::HashBytes(host))));
 }
--- a/src/bambootack/gateway/server_protocol.cc
+++ b/src/bambootack/gateway/server_protocol.cc
@@ -88,6 +88,7 @@
   result.headers.push_back({names.remaining_ms, std::to_string(left)});
   result.headers.push_back({names.expected_server, std::string(server)});
   result.body = request.body;
+  result.shared_body = request.shared_body;
   return result;
 }
 
--- a/src/bambootack/net/http_client.cc
+++ b/src/bambootack/net/http_client.cc
@@ -399,11 +399,11 @@
     const CurlLong fresh = call.fresh_connection ? 1 : 0;
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh);
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, fresh);
-    if (!call.http.body.empty() || call.http.method == "POST" ||
+    if (!call.http.Body().empty() || call.http.method == "POST" ||
         call.http.method == "PUT" || call.http.method == "PATCH") {
       curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                       static_cast<curl_off_t>(call.http.body.size()));
-      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.http.body.data());
+                       static_cast<curl_off_t>(call.http.Body().size()));
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.http.Body().data());
     }
     AddHeaders(transfer);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers.get());
--- a/src/bambootack/net/http_server.cc
+++ b/src/bambootack/net/http_server.cc
@@ -66,6 +66,26 @@
   static constexpr bool use_connection_count_limiter = true;
 };
 
+/// Bodies above this size are shared with the request that holds them.
+constexpr std::size_t kMinSharedBody = 64UL * 1024;
+
+/// Connections beyond the limit that are accepted while others are closed.
+constexpr std::size_t kClosingConnections = 32;
+
+/// Keeps a request, whose body is in use, and the memory reserved for it.
+struct BodyHolder {
+  restinio::request_handle_t request;
+  BodyMemory::Reservation reservation;
+};
+
+std::shared_ptr<const std::string> ShareBody(
+    const restinio::request_handle_t& request,
+    const BodyMemory::Reservation& reservation) {
+  const auto holder =
+      std::make_shared<BodyHolder>(BodyHolder{request, reservation});
+  return {holder, &holder->request->body()};
+}
+
 core::HttpRequest ToRequest(const restinio::request_t& request) {
   core::HttpRequest http;
   http.method = request.header().method().c_str();
@@ -73,7 +93,6 @@
   request.header().for_each_field([&](const auto& field) {
     http.headers.push_back({field.name(), field.value()});
   });
-  http.body = request.body();
   return http;
 }
 
@@ -134,6 +153,16 @@
                     ? restinio::external_io_context(*options.context)
                     : restinio::own_io_context(),
                 MakeSettings(options)) {
+    if (options.body_memory) {
+      detail::body_memory = options.body_memory;
+      detail::open_connections = std::make_shared<detail::OpenConnections>();
+      detail::open_connections->limit = options.max_connections;
+      detail::open_connections->is_waiting =
+          [pending = pending_](detail::PendingRequests::Connection it) {
+            return pending->IsWaiting(it);
+          };
+      limits_bodies_ = true;
+    }
     if (options.context != nullptr) {
       server_.open_sync();
       return;
@@ -154,6 +183,10 @@
     } else {
       server_.close_sync();
     }
+    if (limits_bodies_) {
+      detail::body_memory.reset();
+      detail::open_connections.reset();
+    }
     // Requests hold sockets, which must not outlive the server's context.
     pending_->Clear();
   }
@@ -184,7 +217,9 @@
     Settings settings;
     settings.address(endpoint.ip)
         .port(endpoint.port)
-        .max_parallel_connections(options.max_connections)
+        .max_parallel_connections(
+            options.max_connections +
+            (options.body_memory ? kClosingConnections : 0))
         .read_next_http_message_timelimit(
             std::chrono::milliseconds(options.read_timeout_ms))
         .write_http_response_timelimit(
@@ -206,12 +241,22 @@
   }
 
   void Accept(const restinio::request_handle_t& request) {
-    const auto added = pending_->Add(request);
+    const BodyMemory::Reservation reservation =
+        std::exchange(detail::completed_reservation, nullptr);
+    if (detail::current_socket != nullptr) {
+      detail::current_socket->RecordRequest(request->connection_id());
+    }
+    const auto added = pending_->Add(request, reservation);
     if (!added) {
       return;
     }
     const core::CallerId caller = *added;
     core::HttpRequest http = ToRequest(*request);
+    if (reservation && request->body().size() > kMinSharedBody) {
+      http.shared_body = ShareBody(request, reservation);
+    } else {
+      http.body = request->body();
+    }
     if (const auto kind = CheckRequest(http)) {
       const bool keyed =
           core::FindHeader(http.headers, "Idempotency-Key").has_value();
@@ -248,6 +293,7 @@
 
   OnRequest on_request_;
   std::uint16_t port_ = 0;
+  bool limits_bodies_ = false;
   /// Shared with handlers on the context, which may outlive this server.
   std::shared_ptr<PendingRequests> pending_ =
       std::make_shared<PendingRequests>();
--- a/src/bambootack/net/http_server.h
+++ b/src/bambootack/net/http_server.h
@@ -10,6 +10,7 @@
 
 #include "bambootack/core/http_message.h"
 #include "bambootack/core/ids.h"
+#include "bambootack/net/body_memory.h"
 
 namespace asio {
 class io_context;
@@ -26,6 +27,11 @@
   std::uint32_t read_timeout_ms = 15'000;       ///< For a whole request.
   std::uint32_t write_timeout_ms = 15'000;      ///< For a whole answer.
   std::uint32_t answer_timeout_ms = 3'600'000;  ///< For the handler.
+  /// Memory of the bodies. If set, it decides which bodies are read, large
+  /// bodies are shared and not copied, and the connection without a request for
+  /// longest is closed when there are more than `max_connections`. Needs
+  /// `context`, and the thread that runs it must create the server.
+  std::shared_ptr<BodyMemory> body_memory = nullptr;
   /// If set, the server runs on this context and starts no thread.
   asio::io_context* context = nullptr;
 };
--- a/src/bambootack/net/pending_requests.h
+++ b/src/bambootack/net/pending_requests.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <restinio/all.hpp>
@@ -21,14 +22,16 @@
 
   /// Adds a request, unless an earlier answer will close its connection: the
   /// caller takes such a request for one that was not read and sends it again.
-  std::optional<core::CallerId> Add(const restinio::request_handle_t& request) {
+  /// @param reservation Kept until the request is answered.
+  std::optional<core::CallerId> Add(const restinio::request_handle_t& request,
+                                    std::shared_ptr<void> reservation = {}) {
     const std::scoped_lock lock(mutex_);
     Row& row = rows_[request->connection_id()];
     if (row.close_after) {
       return std::nullopt;
     }
     const core::CallerId caller{++last_};
-    pending_[caller] = request;
+    pending_[caller] = {request, std::move(reservation)};
     row.callers.push_back(caller);
     row.newest = caller;
     ++row.unwritten;
@@ -64,7 +67,7 @@
     if (it == pending_.end()) {
       return nullptr;
     }
-    restinio::request_handle_t request = std::move(it->second);
+    restinio::request_handle_t request = std::move(it->second.request);
     pending_.erase(it);
     std::erase(rows_[request->connection_id()].callers, caller);
     return request;
@@ -106,6 +109,10 @@
   }
 
  private:
+  struct Pending {
+    restinio::request_handle_t request;
+    std::shared_ptr<void> reservation;
+  };
   struct Row {
     std::vector<core::CallerId> callers;
     std::size_t unwritten = 0;
@@ -116,7 +123,7 @@
 
   mutable std::mutex mutex_;
   std::uint64_t last_ = 0;
-  std::unordered_map<core::CallerId, restinio::request_handle_t> pending_;
+  std::unordered_map<core::CallerId, Pending> pending_;
   std::unordered_map<Connection, Row> rows_;
 };
 
--- a/src/bambootack/net/strict_parsing.h
+++ b/src/bambootack/net/strict_parsing.h
@@ -3,14 +3,19 @@
 
 #include <algorithm>
 #include <charconv>
+#include <climits>
 #include <cstddef>
+#include <functional>
+#include <list>
 #include <memory>
+#include <optional>
 #include <restinio/all.hpp>
 #include <string>
 #include <string_view>
 #include <system_error>
 #include <utility>
 
+#include "bambootack/net/body_memory.h"
 #include "bambootack/net/pending_requests.h"
 #include "bambootack/net/request_rules.h"
 
@@ -36,6 +41,15 @@
 };
 inline thread_local ReadChunk read_chunk;
 
+/// Memory of the bodies that the parsers of this thread read; may be null.
+inline thread_local std::shared_ptr<BodyMemory> body_memory;
+
+/// Reservation of the message that a parser of this thread has just completed.
+inline thread_local BodyMemory::Reservation completed_reservation;
+
+/// Why a parser of this thread refuses a body.
+inline thread_local core::ErrorKind body_error = core::ErrorKind::kCount;
+
 /// Refusal to send on the connection that this thread is about to close.
 inline thread_local std::string refusal;
 
@@ -55,16 +69,68 @@
   return lines > (length == 0 ? 1 : 0);
 }
 
+class StrictSocket;
+
+/// Open connections of a server, those without a request for longest first.
+struct OpenConnections {
+  std::list<StrictSocket*> sockets;
+  std::size_t limit = 0;  ///< No connection is closed for others if 0.
+  /// Whether a request of a connection has no complete answer yet.
+  std::function<bool(PendingRequests::Connection)> is_waiting;
+};
+inline thread_local std::shared_ptr<OpenConnections> open_connections;
+
+/// Socket whose read handler runs on this thread.
+inline thread_local StrictSocket* current_socket = nullptr;
+
 /// Socket that remembers where lines start and sends the refusal of this
-/// thread before it closes.
+/// thread before it closes. It releases the body that its parser has not
+/// completed.
 class StrictSocket : public asio::ip::tcp::socket {
  public:
   using Base = asio::ip::tcp::socket;
   using Base::Base;
 
+  ~StrictSocket() {
+    if (memory_) {
+      memory_->Abandon(parser_);
+    }
+    if (registry_) {
+      registry_->sockets.erase(position_);
+    }
+  }
+  StrictSocket(StrictSocket&&) = default;
+  StrictSocket& operator=(StrictSocket&&) = default;
+  StrictSocket(const StrictSocket&) = delete;
+  StrictSocket& operator=(const StrictSocket&) = delete;
+
+  /// Records the parser that reads from this socket.
+  void SetParser(const void* parser) {
+    parser_ = parser;
+    memory_ = body_memory;
+  }
+
+  /// Records a complete request of the connection.
+  void RecordRequest(PendingRequests::Connection connection) {
+    connection_ = connection;
+    if (registry_) {
+      registry_->sockets.splice(registry_->sockets.end(), registry_->sockets,
+                                position_);
+    }
+  }
+
+  /// Closes the connection of a body that has made no progress.
+  void CloseStalled() {
+    refusal = WriteFinalAnswer(
+        RefusalAnswer(core::ErrorKind::kRequestTimeout, false));
+    std::error_code ignored;
+    shutdown(shutdown_both, ignored);
+  }
+
   template <typename Buffer, typename Handler>
   void async_read_some(const Buffer& buffer,  // NOLINT
                        Handler&& handler) {
+    Register();
     const auto executor = asio::get_associated_executor(handler);
     const auto* data = static_cast<const char*>(buffer.data());
     Base::async_read_some(
@@ -74,7 +140,9 @@
                           const std::error_code& ec, std::size_t n) mutable {
               read_chunk = {data, newlines_};
               SetTail({data, n});
+              current_socket = this;
               it(ec, n);
+              current_socket = nullptr;
               read_chunk = {};
             }));
   }
@@ -108,6 +176,39 @@
     }
   }
 
+  /// Adds the connection to those of its server, and closes the one without a
+  /// request for longest if there are too many.
+  void Register() {
+    if (registry_ || !open_connections) {
+      return;
+    }
+    registry_ = open_connections;
+    position_ = registry_->sockets.insert(registry_->sockets.end(), this);
+    if (registry_->limit == 0 ||
+        registry_->sockets.size() <= registry_->limit) {
+      return;
+    }
+    for (StrictSocket* it : registry_->sockets) {
+      if (!it->closing_ && it->IsIdle()) {
+        it->closing_ = true;
+        std::error_code ignored;
+        it->Base::shutdown(shutdown_both, ignored);
+        return;
+      }
+    }
+  }
+
+  [[nodiscard]] bool IsIdle() const {
+    const bool reads_body = memory_ && memory_->ReservedBytes(parser_) > 0;
+    return !reads_body && !(connection_ && registry_->is_waiting(*connection_));
+  }
+
+  const void* parser_ = nullptr;
+  std::shared_ptr<BodyMemory> memory_;
+  std::shared_ptr<OpenConnections> registry_;
+  std::list<StrictSocket*>::iterator position_;
+  std::optional<PendingRequests::Connection> connection_;
+  bool closing_ = false;
   int newlines_ = 0;  ///< Line ends in the run of blanks read last.
 };
 
@@ -147,6 +248,11 @@
     const bool body =
         text.find("HPE_CB_body") != std::string_view::npos ||
         text.find("HPE_CB_headers_complete") != std::string_view::npos;
+    const core::ErrorKind known =
+        std::exchange(body_error, core::ErrorKind::kCount);
+    if (known != core::ErrorKind::kCount) {
+      return WriteFinalAnswer(RefusalAnswer(known, false));
+    }
     return WriteFinalAnswer(
         RefusalAnswer(body ? core::ErrorKind::kBodyTooLarge
                            : core::ErrorKind::kMalformedRequest,
@@ -170,9 +276,53 @@
 /// watch its connection.
 inline int OnHeadersComplete(http_parser* parser) {
   parser->upgrade = 0;
+  const bool chunked = (parser->flags & F_CHUNKED) != 0;
+  const bool announced =
+      parser->content_length > 0 && parser->content_length != ULLONG_MAX;
+  if (body_memory && (chunked || announced)) {
+    StrictSocket* socket = current_socket;
+    if (socket != nullptr) {
+      socket->SetParser(parser->data);
+    }
+    body_error = body_memory->Begin(
+        parser->data,
+        chunked ? 0 : static_cast<std::size_t>(parser->content_length),
+        [socket] {
+          if (socket != nullptr) {
+            socket->CloseStalled();
+          }
+        });
+    if (body_error != core::ErrorKind::kCount) {
+      return -1;
+    }
+  }
   return restinio::impl::restinio_headers_complete_cb(parser);
 }
 
+/// Bytes of a body. The buffer grows with its reservation, so that it is copied
+/// seldom.
+inline int OnBody(http_parser* parser, const char* at, std::size_t length) {
+  if (body_memory) {
+    auto* context =
+        static_cast<restinio::impl::http_parser_ctx_t*>(parser->data);
+    body_error =
+        body_memory->Receive(parser->data, context->m_body.size() + length);
+    if (body_error != core::ErrorKind::kCount) {
+      return -1;
+    }
+    context->m_body.reserve(body_memory->ReservedBytes(parser->data));
+  }
+  return restinio::impl::restinio_body_cb(parser, at, length);
+}
+
+inline int OnMessageComplete(http_parser* parser) {
+  if (body_memory) {
+    completed_reservation = body_memory->Complete(parser->data);
+  }
+  return restinio::impl::restinio_message_complete_cb<
+      restinio::default_http_methods_t>(parser);
+}
+
 inline int OnChunkHeader(http_parser* parser) {
   const auto* context =
       static_cast<const restinio::impl::http_parser_ctx_t*>(parser->data);
@@ -191,6 +341,8 @@
   settings.on_header_value = &bambootack::net::detail::OnHeaderValue;
   settings.on_headers_complete = &bambootack::net::detail::OnHeadersComplete;
   settings.on_chunk_header = &bambootack::net::detail::OnChunkHeader;
+  settings.on_body = &bambootack::net::detail::OnBody;
+  settings.on_message_complete = &bambootack::net::detail::OnMessageComplete;
   return settings;
 }
 
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -1,4 +1,5 @@
 #include <fmt/format.h>
+#include <malloc.h>
 
 #include <algorithm>
 #include <utility>
@@ -29,9 +30,14 @@
   return applied ? daemon::kExitOk : daemon::kExitFailure;
 }
 
+/// Blocks of this size and more are given back to the system when they are
+/// freed. The C library would raise the threshold to that of the largest body.
+constexpr int kMinMappedBytes = 128 * 1024;
+
 }  // namespace
 
 int main(int argc, char** argv) {
+  mallopt(M_MMAP_THRESHOLD, kMinMappedBytes);
   return daemon::RunDaemon(
       argc, argv, "bambootack-gateway", &bambootack::gateway::ParseSettings,
       [](GatewaySettings settings) {
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -11,6 +11,8 @@
 
 #include "bambootack/gateway/gateway.h"
 #include "bambootack/gateway/graceful_shutdown.h"
+#include "bambootack/memory/body_account.h"
+#include "bambootack/net/body_memory.h"
 #include "bambootack/net/http_client.h"
 #include "bambootack/net/http_server.h"
 #include "bambootack/node/answers.h"
@@ -30,7 +32,22 @@
 /// bytes.
 constexpr net::AnswerLimits kAnswerLimits{
     .body_bytes = 8UL * 1024 * 1024, .total_body_bytes = 24UL * 1024 * 1024};
-constexpr std::size_t kMaxBodyBytes = 64UL * 1024 * 1024;
+constexpr std::size_t kMegabyte = 1024UL * 1024;
+constexpr std::size_t kMaxBodyBytes = 64 * kMegabyte;
+
+/// Answers that are received may take this part of the memory of the VM.
+constexpr std::size_t kAnswerMemoryDivisor = 8;
+
+/// Connections of callers may take a quarter of the memory, with heads of the
+/// largest size; ordinary ones take far less.
+constexpr std::size_t kConnectionMemoryDivisor = 4;
+constexpr std::size_t kConnectionBytes = 40UL * 1024;
+constexpr std::size_t kMaxConnections = 4096;
+
+/// Descriptors that the platform keeps for files, and those for listeners,
+/// peers, the store and operators.
+constexpr std::size_t kFileDescriptors = 200;
+constexpr std::size_t kOtherDescriptors = 64;
 
 /// Longer than the up to 12 s for which callers keep idle connections open.
 constexpr std::uint32_t kCallerReadTimeoutMs = 20'000;
@@ -66,6 +83,34 @@
       std::chrono::nanoseconds(time.tv_nsec)));
 }
 
+net::AnswerLimits AnswerLimitsOf(std::size_t memory_bytes) {
+  net::AnswerLimits limits = kAnswerLimits;
+  if (memory_bytes > 0) {
+    limits.total_body_bytes =
+        std::min(limits.total_body_bytes, memory_bytes / kAnswerMemoryDivisor);
+    limits.body_bytes = std::min(limits.body_bytes, limits.total_body_bytes);
+  }
+  return limits;
+}
+
+/// Connections of callers for which there are descriptors and memory. Each may
+/// need another descriptor for the server that gets its request.
+std::size_t MaxConnections(const gateway::GatewaySettings& settings) {
+  std::size_t result = kMaxConnections;
+  const auto descriptors = static_cast<std::size_t>(settings.max_descriptors);
+  const auto memory = static_cast<std::size_t>(settings.memory_mb) * kMegabyte;
+  if (descriptors > 0) {
+    constexpr std::size_t kReserved = kFileDescriptors + kOtherDescriptors;
+    result = std::min(
+        result, descriptors > kReserved ? (descriptors - kReserved) / 2 : 1);
+  }
+  if (memory > 0) {
+    result =
+        std::min(result, memory / kConnectionMemoryDivisor / kConnectionBytes);
+  }
+  return std::max<std::size_t>(result, 1);
+}
+
 }  // namespace
 
 class Shell::Impl {
@@ -85,7 +130,12 @@
               settings_.first_start, &GenerateFleetKey),
         timer_(io_context_),
         signals_(io_context_, SIGTERM, SIGINT, SIGHUP),
-        client_(kAnswerLimits),
+        client_(AnswerLimitsOf(static_cast<std::size_t>(settings_.memory_mb) *
+                               kMegabyte)),
+        body_memory_(std::make_shared<net::BodyMemory>(
+            memory::MakeBodyLimits(
+                static_cast<std::size_t>(settings_.memory_mb) * kMegabyte),
+            kMaxBodyBytes, &Now)),
         operator_server_(
             {.address = settings_.operator_address, .context = &io_context_},
             [this](core::CallerId caller, core::HttpRequest http) {
@@ -101,7 +151,9 @@
         caller_server_(
             {.address = settings_.caller_address,
              .max_body_bytes = kMaxBodyBytes,
+             .max_connections = MaxConnections(settings_),
              .read_timeout_ms = kCallerReadTimeoutMs,
+             .body_memory = body_memory_,
              .context = &io_context_},
             [this](core::CallerId caller, core::HttpRequest http) {
               asio::post(io_context_,
@@ -196,6 +248,7 @@
     for (gateway::GatewayAction& action : gateway_.TakeActions()) {
       std::visit([&](auto& typed) { Perform(std::move(typed), now); }, action);
     }
+    ApplyCallerLimits();
     if (!ready_logged_ && gateway_.IsReady()) {
       ready_logged_ = true;
       log_.Add(
@@ -209,6 +262,18 @@
     SetTimer(now);
   }
 
+  /// Applies the limits on callers of the configuration in force.
+  void ApplyCallerLimits() {
+    const std::uint64_t version = gateway_.Routes().Version();
+    if (version == limits_version_) {
+      return;
+    }
+    limits_version_ = version;
+    const auto& limits = gateway_.Routes().Config().caller_limits;
+    body_memory_->SetMaxBodyBytes(
+        limits ? std::min(limits->body_bytes, kMaxBodyBytes) : kMaxBodyBytes);
+  }
+
   void AdvanceShutdown(core::Time now) {
     if (!shutdown_) {
       return;
@@ -410,8 +475,10 @@
   bool exiting_ = false;  ///< `Exit` is due.
   int exit_code_ = 0;
   bool ready_logged_ = false;
+  std::uint64_t limits_version_ = 0;  ///< Whose limits on callers are applied.
   std::uint64_t last_store_request_id_ = kFirstStoreRequestId;
   net::HttpClient client_;
+  std::shared_ptr<net::BodyMemory> body_memory_;
   std::optional<PeerMessenger> peers_;
   net::HttpServer operator_server_;
   net::HttpServer metrics_server_;
