--- a/src/bambootack/core/http_message.h
+++ b/src/bambootack/core/http_message.h
@@ -28,7 +28,7 @@
   std::string body;
   /// Holds a large body in place of `body`, so that copies of the request share
   /// it. May be null.
-  std::shared_ptr<const std::string> shared_body;
+  std::shared_ptr<const std::string> shared_body = nullptr;
 
   /// @brief The body, wherever it is held.
   [[nodiscard]] const std::string& Body() const noexcept {
--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -53,8 +53,8 @@
   customers::HashSecret key_secret{};  ///< For hashes of API keys.
   /// Time after which a withdrawn API key must not work on any VM. Nothing: the
   /// API keys of the configuration in force are used however old it is.
-  std::optional<core::Duration> key_withdrawal_time;
-  quota::Tolerance quota_tolerance;
+  std::optional<core::Duration> key_withdrawal_time = std::nullopt;
+  quota::Tolerance quota_tolerance = {};
 };
 
 /// @brief Action: transmits a request once to a backend server.
--- a/src/bambootack/gateway/settings.h
+++ b/src/bambootack/gateway/settings.h
@@ -16,15 +16,15 @@
 struct GatewaySettings {
   std::string name;  ///< Name of the VM in logs.
   std::string failure_domain;
-  std::string caller_address;    ///< IP:port for callers.
-  std::string operator_address;  ///< IP:port for readiness and reports.
-  std::string metrics_address;   ///< IP:port for metrics.
-  std::string peer_address;      ///< IP:port for peers.
-  std::string store_address;     ///< IP:port of the platform's store.
-  std::string platform_bounds;   ///< Limits in the platform's own format.
+  std::string caller_address;        ///< IP:port for callers.
+  std::string operator_address;      ///< IP:port for readiness and reports.
+  std::string metrics_address;       ///< IP:port for metrics.
+  std::string peer_address;          ///< IP:port for peers.
+  std::string store_address;         ///< IP:port of the platform's store.
+  std::string platform_bounds;       ///< Limits in the platform's own format.
   std::int64_t memory_mb = 0;        ///< Memory of the VM; 0: not known.
   std::int64_t max_descriptors = 0;  ///< Of the process; 0: not known.
-  bool first_start = false;      ///< The whole fleet starts for the first time.
+  bool first_start = false;  ///< The whole fleet starts for the first time.
   settings::LogLevel log_level = settings::LogLevel::kInfo;
   /// Time that a graceful shutdown may take; absent or 0 in the
   /// file: the platform's.
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -2,6 +2,7 @@
 #include <malloc.h>
 
 #include <algorithm>
+#include <csignal>
 #include <utility>
 
 #include "bambootack/gateway/settings.h"
@@ -34,6 +35,13 @@
 /// freed. The C library would raise the threshold to that of the largest body.
 constexpr int kMinMappedBytes = 128 * 1024;
 
+/// Ignores a request to reload that arrives before `main`, which would end the
+/// process. The handlers of this section run before the constructors of
+/// libraries and of this program.
+void IgnoreEarlyReload() { std::signal(SIGHUP, SIG_IGN); }
+[[gnu::section(".preinit_array"),
+  gnu::used]] void (*const ignore_early_reload)() = &IgnoreEarlyReload;
+
 }  // namespace
 
 int main(int argc, char** argv) {
--- a/test/platform/settings_template_test.cc
+++ b/test/platform/settings_template_test.cc
@@ -28,6 +28,7 @@
  "bounds":{"drainMs":3000,"graceS":10,"configApplyMs":2500,
    "retryBudgetRatio":0.3,"retryBudgetSlack":630,"retryWindowS":20},
  "listen":{"front":"10.1.0.35:8144","ready":"10.1.0.35:8140"},
+ "limits":{"cpuShare":0.15,"memoryMb":198,"maxFds":3124},
  "platform":{"address":"10.200.1.7:8142","form":"log"}})";
 
 std::string Render(const json::value& value) {
@@ -116,6 +117,8 @@
   BOOST_TEST(settings.metrics_address == "10.1.0.35:9102");
   BOOST_TEST(settings.peer_address == "10.1.0.35:7660");
   BOOST_TEST(settings.store_address == "10.200.1.7:8142");
+  BOOST_TEST(settings.memory_mb == 198);
+  BOOST_TEST(settings.max_descriptors == 3124);
   BOOST_TEST(settings.first_start);
 
   const auto parsed = platform::ParseFleetLimits(settings.platform_bounds);
