Exploration: trials no longer cause further trials

Outcomes of trials are not counted now, and the idle time falls steeply towards that of the floor instead of at one threshold.

--- a/src/bambootack/gateway/exploration.cc
+++ b/src/bambootack/gateway/exploration.cc
@@ -1,5 +1,8 @@
 #include "bambootack/gateway/exploration.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace bambootack::gateway {
 namespace {
 
@@ -7,10 +10,16 @@
 constexpr core::Duration kInterval = std::chrono::milliseconds(250);
 
 /// The floor is in force while between a tenth and half of a service's requests
-/// fail. A group sees a part of them, so its own share may be lower or higher.
-constexpr double kMinFailedShare = 0.08;
+/// fail. Trials add up to a hundredth to the share that is counted here, and a
+/// group sees a part of the requests only.
+constexpr double kFloorShare = 0.09;
 constexpr double kMaxFailedShare = 0.55;
 
+/// The idle time grows with this power of the distance to `kFloorShare`, so
+/// that it is a few times the one of the floor where a service comes near it,
+/// and has its full length where a third less fails.
+constexpr double kExponent = 10.0;
+
 /// With a larger share of repeatable requests, these explore.
 constexpr double kMaxRepeatableShare = 0.1;
 
@@ -61,18 +70,20 @@
   ++IntervalAt(now).repeatable;
 }
 
-/// Whether servers in regular use carry the requests that are not repeatable.
-bool Exploration::IsCalm(core::Time now) const {
+core::Duration Exploration::MaxIdleTime(core::Time now) const {
   const Interval sum = Sum(now);
   const double total = sum.served + sum.failed;
-  const bool floor_in_force = sum.failed >= kMinFailures &&
-                              sum.failed >= kMinFailedShare * total &&
-                              sum.failed <= kMaxFailedShare * total;
-  return sum.repeatable <= kMaxRepeatableShare * total && !floor_in_force;
-}
-
-core::Duration Exploration::MaxIdleTime(core::Time now) const {
-  return IsCalm(now) ? kCalmIdleTime : kFloorIdleTime;
+  if (sum.repeatable > kMaxRepeatableShare * total) {
+    return kFloorIdleTime;
+  }
+  if (sum.failed < kMinFailures || sum.failed > kMaxFailedShare * total) {
+    return kCalmIdleTime;
+  }
+  const double factor = std::pow(kFloorShare * total / sum.failed, kExponent);
+  const auto most = static_cast<double>(kCalmIdleTime.count());
+  const auto least = static_cast<double>(kFloorIdleTime.count());
+  return core::Duration(
+      static_cast<std::int64_t>(std::clamp(least * factor, least, most)));
 }
 
 }  // namespace bambootack::gateway
--- a/src/bambootack/gateway/exploration.h
+++ b/src/bambootack/gateway/exploration.h
@@ -16,7 +16,8 @@
 /// the floor applies: most of the healthy servers have to receive requests.
 class Exploration {
  public:
-  /// @brief Records the end of an attempt.
+  /// @brief Records the end of an attempt that was no trial. The failures of
+  /// trials would cause further trials.
   /// @param served Whether the caller got the answer of a server.
   void RecordOutcome(bool served, core::Time now);
 
@@ -39,7 +40,6 @@
 
   [[nodiscard]] Interval& IntervalAt(core::Time now);
   [[nodiscard]] Interval Sum(core::Time now) const;
-  [[nodiscard]] bool IsCalm(core::Time now) const;
 
   std::array<Interval, kIntervals> intervals_;
 };
--- a/src/bambootack/gateway/server_choice.cc
+++ b/src/bambootack/gateway/server_choice.cc
@@ -248,13 +248,13 @@
     explorations_[{requirements.service, requirements.group}].RecordRepeatable(
         now);
   }
-  return Grant(*chosen, requirements, holder,
-               chosen->successes_needed > 0 && best->tier == kPreferredTier,
+  return Grant(*chosen, requirements, holder, best->tier == kPreferredTier,
                now);
 }
 
 Slot ServerPool::Grant(ServerState& state, const SlotRequirements& requirements,
-                       core::VmId holder, bool probe, core::Time now) {
+                       core::VmId holder, bool preferred, core::Time now) {
+  const bool probe = preferred && state.successes_needed > 0;
   const core::Duration average =
       AverageResponseTime(requirements.route).value_or(kDefaultResponseTime);
   Lease lease;
@@ -268,6 +268,7 @@
   lease.expires_at = now + requirements.time_left + kLeaseGracePeriod;
   lease.probe = probe;
   lease.group = requirements.group;
+  lease.trial = preferred && !requirements.repeatable;
   ++state.in_flight;
   state.last_grant = now;
   state.was_granted = true;
--- a/src/bambootack/gateway/server_pool.cc
+++ b/src/bambootack/gateway/server_pool.cc
@@ -112,6 +112,9 @@
 void ServerPool::RecordExploration(const std::string& service,
                                    const Lease& lease, AttemptOutcome outcome,
                                    core::Time now) {
+  if (lease.trial) {
+    return;
+  }
   switch (outcome) {
     case AttemptOutcome::kServed:
     case AttemptOutcome::kServerError:
--- a/src/bambootack/gateway/server_pool.h
+++ b/src/bambootack/gateway/server_pool.h
@@ -193,6 +193,7 @@
     core::Time expires_at{};  ///< After the deadline of its request.
     bool probe = false;
     std::uint32_t group = 0;
+    bool trial = false;  ///< At a server that nothing was known of.
   };
 
   /// Sort key of a candidate server; the lowest one is chosen.
@@ -236,7 +237,7 @@
   void RecordHealthChange(const ServerState& state, ServerHealth to,
                           AttemptOutcome cause);
   Slot Grant(ServerState& state, const SlotRequirements& requirements,
-             core::VmId holder, bool probe, core::Time now);
+             core::VmId holder, bool preferred, core::Time now);
 
   std::map<std::string, ServerState, std::less<>> servers_;
   /// Ids of servers that are not draining, by service and group.
--- a/test/bambootack/gateway/exploration_test.cc
+++ b/test/bambootack/gateway/exploration_test.cc
@@ -177,6 +177,8 @@
   };
   BOOST_TEST((run(0, 0) == seconds(20)));
   BOOST_TEST((run(1, 0) == seconds(20)));
+  const core::Duration near_floor = run(3, 0);
+  BOOST_TEST((near_floor < seconds(2)));
   BOOST_TEST((run(2, 0) < seconds(2)));
   BOOST_TEST((run(9, 0) < seconds(2)));
   BOOST_TEST((run(16, 0) == seconds(20)));
