--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -211,6 +211,8 @@
     quota::Quota quota;  ///< Of the customer; a rate of 0 is no limit.
     TokenState token = TokenState::kNotNeeded;
     std::uint64_t token_number = 0;
+    core::Time token_requested_at{};
+    bool token_sent = false;
     core::Time token_retry_at{};  ///< When the token is requested again.
     core::Time token_deadline{};  ///< When the request is refused without one.
     bool slot_after_token = false;  ///< The slot is requested afterwards.
--- a/src/bambootack/gateway/gateway_quota.cc
+++ b/src/bambootack/gateway/gateway_quota.cc
@@ -12,16 +12,18 @@
 namespace bambootack::gateway {
 namespace {
 
-/// A request whose token has not been decided on is sent again after this time.
+/// A request for a token without a reply is sent once more after this time. A
+/// slow owner would not bear further ones.
 constexpr core::Duration kTokenRetryTime = std::chrono::milliseconds(40);
 
-/// A request is refused after this time, or half of its latency target. An
-/// owner that has just taken over holds few shares for about a second.
-constexpr core::Duration kTokenTimeout = std::chrono::seconds(1);
-constexpr int kTargetDivisor = 2;
+/// Without any reply, the caller's request is refused after this time.
+constexpr core::Duration kSilentOwnerTimeout = std::chrono::milliseconds(250);
 
-/// Longest pause before an owner with too few shares is asked again.
-constexpr core::Duration kMaxTokenPause = std::chrono::milliseconds(200);
+/// An owner that has just taken over holds few shares for about a second. It is
+/// asked again at this interval, for half of the latency target at most.
+constexpr core::Duration kShareWaitTimeout = std::chrono::seconds(1);
+constexpr core::Duration kShareWaitInterval = std::chrono::milliseconds(150);
+constexpr int kTargetDivisor = 2;
 
 /// While a customer is refused, most of its requests would return their slots
 /// unused. They ask for the slot after the token.
@@ -84,9 +86,10 @@
   request.token = TokenState::kPending;
   request.token_number = ++last_token_;
   request.slot_after_token = WasRefusedLately(request.customer, now);
+  request.token_requested_at = now;
   request.token_deadline =
-      now +
-      std::min(kTokenTimeout, request.route->latency_target / kTargetDivisor);
+      now + std::min(kSilentOwnerTimeout,
+                     request.route->latency_target / kTargetDivisor);
   by_token_[request.token_number] = handle;
   SendTokenRequest(handle, now);
 }
@@ -97,7 +100,9 @@
   const auto target = ChooseQuotaOwner(shard, now);
   quota::TokenRequest message{request.token_number, request.customer,
                               request.quota, target.stamp};
-  request.token_retry_at = now + kTokenRetryTime;
+  request.token_retry_at =
+      request.token_sent ? request.token_deadline : now + kTokenRetryTime;
+  request.token_sent = true;
   lender_.RecordSent(shard, now);
   if (target.vm == options_.vm) {
     quota_owner_.SetFleetSize(sync_.IsFleetKnown() ? peers_.FleetSize() : 0);
@@ -118,9 +123,14 @@
   }
   const core::Handle handle = found->second;
   Request& request = *requests_.Find(handle);
-  if (!reply.granted && !reply.exhausted && now < request.token_deadline) {
-    request.token_retry_at =
-        now + std::clamp(reply.wait, kTokenRetryTime, kMaxTokenPause);
+  const core::Time share_deadline =
+      request.token_requested_at +
+      std::min(kShareWaitTimeout,
+               request.route->latency_target / kTargetDivisor);
+  if (!reply.granted && !reply.exhausted &&
+      now + kShareWaitInterval < share_deadline) {
+    request.token_deadline = share_deadline;
+    request.token_retry_at = now + kShareWaitInterval;
     UpdateTimer(handle, request);
     return;
   }
--- a/src/bambootack/gateway/server_choice.cc
+++ b/src/bambootack/gateway/server_choice.cc
@@ -7,6 +7,10 @@
 namespace bambootack::gateway {
 namespace {
 
+/// A server that no repeatable request has probed for this long after its
+/// ejection may be probed by any request.
+constexpr core::Duration kMaxProbeDelay = std::chrono::milliseconds(2500);
+
 /// Load reports of servers are ignored after this time.
 constexpr core::Duration kLoadReportLifetime = std::chrono::milliseconds(500);
 
@@ -15,10 +19,6 @@
 constexpr int kOverdueFactor = 4;
 constexpr core::Duration kOverdueMargin = std::chrono::milliseconds(250);
 
-/// A server that no repeatable request has probed for this long after its
-/// ejection may be probed by any request.
-constexpr core::Duration kMaxProbeDelay = std::chrono::milliseconds(2500);
-
 /// Response time that is assumed before the first answer of a route.
 constexpr core::Duration kDefaultResponseTime = std::chrono::milliseconds(500);
 
@@ -35,10 +35,10 @@
 constexpr core::Duration kVerificationTime = std::chrono::milliseconds(25);
 
 /// A server without requests for this long receives the next repeatable
-/// request, and after `kMaxIdleTime` also if it is full. Both times serve the
+/// request, and after `kMaxIdleTime` any request. Both times serve the
 /// floor, the required share of healthy servers in use: while a tenth of the
 /// requests fail, 70% of the healthy servers have to receive requests in every
-/// 2 s. `Exploration` decides on requests that are not repeatable.
+/// 2 s.
 constexpr core::Duration kRepeatableIdleTime = std::chrono::milliseconds(1000);
 constexpr core::Duration kMaxIdleTime = std::chrono::milliseconds(1600);
 
@@ -111,7 +111,7 @@
 
 std::optional<ServerPool::Preference> ServerPool::PreferenceOf(
     const ServerState& state, const SlotRequirements& requirements,
-    core::Duration max_idle, core::Time now, core::Random& random) const {
+    core::Time now, core::Random& random) const {
   if (std::find(requirements.excluded.begin(), requirements.excluded.end(),
                 state.id) != requirements.excluded.end()) {
     return std::nullopt;
@@ -129,7 +129,7 @@
   const bool overdue = HasOverdueLease(state, now);
   Preference result;
   if (state.successes_needed == 0) {
-    result = HealthyPreference(state, requirements, max_idle, load, now);
+    result = HealthyPreference(state, requirements, load, now);
     if (overdue && result.tier != kPreferredTier) {
       result.tier = kOverdueTier;
     }
@@ -173,8 +173,8 @@
 /// the most recent successes, and leave a slot there for repeatable requests,
 /// which prefer the server whose last request is longest ago.
 ServerPool::Preference ServerPool::HealthyPreference(
-    const ServerState& state, const SlotRequirements& requirements,
-    core::Duration max_idle, double load, core::Time now) const {
+    const ServerState& state, const SlotRequirements& requirements, double load,
+    core::Time now) const {
   const core::Duration domain_delay =
       state.failure_domain == requirements.failure_domain ? core::Duration{}
                                                           : kRemoteDomainDelay;
@@ -182,11 +182,8 @@
       std::chrono::duration_cast<core::Duration>(now - state.last_grant);
   Preference result;
   const bool full = load >= 1.0;
-  if (requirements.repeatable) {
-    max_idle = full ? kMaxIdleTime : kRepeatableIdleTime;
-  } else if (!state.was_granted) {
-    max_idle = kMaxIdleTime;  // It has just joined.
-  }
+  const core::Duration max_idle =
+      requirements.repeatable && !full ? kRepeatableIdleTime : kMaxIdleTime;
   if (requirements.pool_is_fleet_wide && idle_time >= max_idle) {
     result.tier = kPreferredTier;
     result.order = state.last_grant.time_since_epoch();
@@ -212,14 +209,6 @@
   return result;
 }
 
-core::Duration ServerPool::MaxIdleTime(const SlotRequirements& requirements,
-                                       core::Time now) const {
-  const auto found =
-      explorations_.find({requirements.service, requirements.group});
-  return found == explorations_.end() ? kMaxIdleTime
-                                      : found->second.MaxIdleTime(now);
-}
-
 std::optional<Slot> ServerPool::Acquire(const SlotRequirements& requirements,
                                         core::VmId holder, core::Time now,
                                         core::Random& random) {
@@ -228,14 +217,11 @@
     return std::nullopt;
   }
   const auto& groups = servers->second;
-  const auto& group = groups[requirements.group % groups.size()];
-  const core::Duration max_idle = MaxIdleTime(requirements, now);
   std::optional<Preference> best;
   ServerState* chosen = nullptr;
-  for (const std::string& id : group) {
+  for (const std::string& id : groups[requirements.group % groups.size()]) {
     ServerState& state = servers_.find(id)->second;
-    const auto preference =
-        PreferenceOf(state, requirements, max_idle, now, random);
+    const auto preference = PreferenceOf(state, requirements, now, random);
     if (preference && (!best || *preference < *best)) {
       best = preference;
       chosen = &state;
@@ -244,17 +230,13 @@
   if (chosen == nullptr) {
     return std::nullopt;
   }
-  if (requirements.repeatable) {
-    explorations_[{requirements.service, requirements.group}].RecordRepeatable(
-        now);
-  }
-  return Grant(*chosen, requirements, holder, best->tier == kPreferredTier,
+  return Grant(*chosen, requirements, holder,
+               chosen->successes_needed > 0 && best->tier == kPreferredTier,
                now);
 }
 
 Slot ServerPool::Grant(ServerState& state, const SlotRequirements& requirements,
-                       core::VmId holder, bool preferred, core::Time now) {
-  const bool probe = preferred && state.successes_needed > 0;
+                       core::VmId holder, bool probe, core::Time now) {
   const core::Duration average =
       AverageResponseTime(requirements.route).value_or(kDefaultResponseTime);
   Lease lease;
@@ -267,11 +249,8 @@
       now + std::max(average * kOverdueFactor, average + kOverdueMargin);
   lease.expires_at = now + requirements.time_left + kLeaseGracePeriod;
   lease.probe = probe;
-  lease.group = requirements.group;
-  lease.trial = preferred && !requirements.repeatable;
   ++state.in_flight;
   state.last_grant = now;
-  state.was_granted = true;
   state.probes_in_flight += probe ? 1 : 0;
   const std::uint64_t number = ++last_lease_;
   leases_by_server_.emplace(state.id, number);
--- a/src/bambootack/gateway/server_pool.cc
+++ b/src/bambootack/gateway/server_pool.cc
@@ -103,36 +103,9 @@
     state->second.load = *load;
     state->second.load_reported_at = now;
   }
-  RecordExploration(state->second.service, it, outcome, now);
   Evaluate(state->second, it, outcome, now);
 }
 
-/// Records outcomes that callers notice. An attempt that was not executed is
-/// repeated elsewhere.
-void ServerPool::RecordExploration(const std::string& service,
-                                   const Lease& lease, AttemptOutcome outcome,
-                                   core::Time now) {
-  if (lease.trial) {
-    return;
-  }
-  switch (outcome) {
-    case AttemptOutcome::kServed:
-    case AttemptOutcome::kServerError:
-    case AttemptOutcome::kLost:
-    case AttemptOutcome::kInvalid:
-    case AttemptOutcome::kTimedOut:
-      explorations_[{service, lease.group}].RecordOutcome(
-          outcome == AttemptOutcome::kServed, now);
-      break;
-    case AttemptOutcome::kNotExecuted:
-    case AttemptOutcome::kWrongServer:
-    case AttemptOutcome::kUnreachable:
-    case AttemptOutcome::kCancelled:
-    case AttemptOutcome::kUnused:
-      break;
-  }
-}
-
 void ServerPool::RecordAttempt(std::string_view server, std::string_view route,
                                core::Duration duration, AttemptOutcome outcome,
                                core::Time now) {
--- a/src/bambootack/gateway/server_pool.h
+++ b/src/bambootack/gateway/server_pool.h
@@ -15,7 +15,6 @@
 #include "bambootack/core/ids.h"
 #include "bambootack/core/random.h"
 #include "bambootack/core/time.h"
-#include "bambootack/gateway/exploration.h"
 #include "bambootack/gateway/model.h"
 #include "bambootack/gateway/server_registry.h"
 
@@ -172,9 +171,7 @@
     core::Time ejected_until{};  ///< End of the ejection after a failure.
     /// End of the pause after it had no capacity.
     core::Time no_capacity_until{};
-    /// Time of its last lease, or when it joined.
-    core::Time last_grant{};
-    bool was_granted = false;   ///< It has had a lease.
+    core::Time last_grant{};    ///< Time of its last lease.
     core::Time last_success{};  ///< Time of its last served request.
     ServerLoad load;            ///< As last reported.
     core::Time load_reported_at{};
@@ -192,8 +189,6 @@
     core::Time overdue_at{};
     core::Time expires_at{};  ///< After the deadline of its request.
     bool probe = false;
-    std::uint32_t group = 0;
-    bool trial = false;  ///< At a server that nothing was known of.
   };
 
   /// Sort key of a candidate server; the lowest one is chosen.
@@ -209,9 +204,7 @@
   void DivideIntoGroups();
   [[nodiscard]] std::optional<Preference> PreferenceOf(
       const ServerState& state, const SlotRequirements& requirements,
-      core::Duration max_idle, core::Time now, core::Random& random) const;
-  [[nodiscard]] core::Duration MaxIdleTime(const SlotRequirements& requirements,
-                                           core::Time now) const;
+      core::Time now, core::Random& random) const;
   [[nodiscard]] double LoadOf(const ServerState& state, core::Time now) const;
   [[nodiscard]] bool HasOverdueLease(const ServerState& state,
                                      core::Time now) const;
@@ -222,11 +215,9 @@
       bool overdue, core::Time now) const;
   [[nodiscard]] Preference HealthyPreference(
       const ServerState& state, const SlotRequirements& requirements,
-      core::Duration max_idle, double load, core::Time now) const;
+      double load, core::Time now) const;
   [[nodiscard]] double RequestLimit(const ServerState& state,
                                     const SlotRequirements& requirements) const;
-  void RecordExploration(const std::string& service, const Lease& lease,
-                         AttemptOutcome outcome, core::Time now);
   void Evaluate(ServerState& state, const Lease& lease, AttemptOutcome outcome,
                 core::Time now);
   void RecordFailure(ServerState& state, AttemptOutcome cause,
@@ -237,7 +228,7 @@
   void RecordHealthChange(const ServerState& state, ServerHealth to,
                           AttemptOutcome cause);
   Slot Grant(ServerState& state, const SlotRequirements& requirements,
-             core::VmId holder, bool preferred, core::Time now);
+             core::VmId holder, bool probe, core::Time now);
 
   std::map<std::string, ServerState, std::less<>> servers_;
   /// Ids of servers that are not draining, by service and group.
@@ -247,8 +238,6 @@
   std::set<std::pair<std::string, std::uint64_t>> leases_by_server_;
   std::set<std::pair<core::Time, std::uint64_t>> leases_by_expiry_;
   std::map<std::string, core::Duration, std::less<>> response_times_;
-  /// By service and group.
-  std::map<std::pair<std::string, std::uint32_t>, Exploration> explorations_;
   std::vector<HealthChange> health_changes_;
   std::vector<FinishedAttempt> finished_attempts_;
   std::uint64_t last_lease_ = 0;
--- a/test/bambootack/gateway/server_pool_test.cc
+++ b/test/bambootack/gateway/server_pool_test.cc
@@ -183,7 +183,8 @@
 }
 
 // Guards against idle healthy servers: 12 of 25 received no requests for 2 s
-// while a tenth of the requests failed.
+// while a tenth of the requests failed. Also guards against new servers without
+// requests in a service that has no repeatable ones.
 BOOST_AUTO_TEST_CASE(every_server_receives_a_request_within_two_seconds) {
   ServeOneRequestPerServer();
   for (const int repeatable_of_ten : {0, 1, 3}) {
@@ -196,10 +197,7 @@
       requirements.repeatable = i % 10 < repeatable_of_ten;
       const auto slot = Acquire();
       last[slot->server] = now;
-      pool.Release(
-          slot->lease,
-          i % 8 == 0 ? AttemptOutcome::kServerError : AttemptOutcome::kServed,
-          std::nullopt, now);
+      pool.Release(slot->lease, AttemptOutcome::kServed, std::nullopt, now);
       for (const auto& [server, time] : last) {
         BOOST_TEST_REQUIRE((now - time < milliseconds(2000)), server);
       }
