--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -40,7 +40,7 @@
 /// libraries and of this program.
 void IgnoreEarlyReload() { std::signal(SIGHUP, SIG_IGN); }
 [[gnu::section(".preinit_array"),
-  gnu::used]] void (*const ignore_early_reload)() = &IgnoreEarlyReload;
+  gnu::used]] void (*const kIgnoreEarlyReload)() = &IgnoreEarlyReload;
 
 }  // namespace
 
--- a/test/bambootack/customers/key_confirmation_test.cc
+++ b/test/bambootack/customers/key_confirmation_test.cc
@@ -4,7 +4,6 @@
 
 namespace core = bambootack::core;
 using bambootack::customers::KeyConfirmation;
-using bambootack::customers::KeyStateReply;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
