--- a/test/clients/clients_test.cc
+++ b/test/clients/clients_test.cc
@@ -11,7 +11,6 @@
 
 using clients::Crowd;
 using clients::RequestHead;
-using clients::Script;
 using clients::System;
 using clients::SystemLimits;
 
--- a/test/clients/system.cc
+++ b/test/clients/system.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdlib>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 
 #include "bambootack/core/http_message.h"
@@ -131,12 +132,9 @@
 }
 
 std::size_t System::Descriptors() const {
-  std::size_t count = 0;
-  for (const auto& it : std::filesystem::directory_iterator(
-           fmt::format("/proc/{}/fd", process_->Id()))) {
-    count += it.exists() ? 1 : 1;
-  }
-  return count;
+  const std::filesystem::directory_iterator begin(
+      fmt::format("/proc/{}/fd", process_->Id()));
+  return static_cast<std::size_t>(std::distance(begin, {}));
 }
 
 bool System::IsServed(std::size_t body_bytes, int tries) {
