--- a/test/bambootack/quota/quota_test.cc
+++ b/test/bambootack/quota/quota_test.cc
@@ -40,9 +40,9 @@
     }
   }
 
-  std::size_t Size() const { return vms_.size(); }
-  core::Time Now() const { return now_; }
-  int Granted() const { return static_cast<int>(grants_.size()); }
+  [[nodiscard]] std::size_t Size() const { return vms_.size(); }
+  [[nodiscard]] core::Time Now() const { return now_; }
+  [[nodiscard]] int Granted() const { return static_cast<int>(grants_.size()); }
 
   void Advance(core::Duration time) {
     for (const core::Time end = now_ + time; now_ < end;) {
@@ -68,7 +68,7 @@
       return;
     }
     const auto target = Choose(i);
-    vms_[i].lender.RecordSent(kShard(), now_);
+    vms_[i].lender.RecordSent(Shard(), now_);
     Send(i, IndexOf(target.vm),
          quota::TokenRequest{++number_, kCustomer, kQuota, target.stamp});
   }
@@ -94,7 +94,7 @@
   void SetDelay(core::Duration delay) { delay_ = delay; }
 
   /// Most grants in any window.
-  int MostInWindow() const {
+  [[nodiscard]] int MostInWindow() const {
     std::size_t most = 0;
     std::size_t first = 0;
     for (std::size_t last = 0; last < grants_.size(); ++last) {
@@ -106,7 +106,7 @@
     return static_cast<int>(most);
   }
 
-  static int Bound() {
+  [[nodiscard]] static int Bound() {
     return static_cast<int>((kQuota.rate * 5 + kQuota.burst) *
                                 (1.0 + kTolerance.overshoot) +
                             kTolerance.slack);
@@ -127,7 +127,9 @@
     Message message;
   };
 
-  static std::uint32_t kShard() { return quota::ShardOf(kCustomer); }
+  [[nodiscard]] static std::uint32_t Shard() {
+    return quota::ShardOf(kCustomer);
+  }
   static core::VmId IdOf(std::size_t i) {
     return core::VmId{static_cast<std::uint32_t>(i) + 1};
   }
@@ -150,17 +152,17 @@
         break;
       }
     }
-    const auto owner = vms_[i].lender.OwnerOf(kShard());
+    const auto owner = vms_[i].lender.OwnerOf(Shard());
     const bool leaving =
         owner && vms_[IndexOf(*owner)].leaving && !silent_[i][IndexOf(*owner)];
-    return vms_[i].lender.Choose(kShard(), IdOf(preferred), leaving, now_);
+    return vms_[i].lender.Choose(Shard(), IdOf(preferred), leaving, now_);
   }
 
   void Renew(std::size_t i) {
-    if (vms_[i].lender.IsRenewalDue(kShard(), now_)) {
+    if (vms_[i].lender.IsRenewalDue(Shard(), now_)) {
       const auto target = Choose(i);
-      vms_[i].lender.RecordSent(kShard(), now_);
-      Send(i, IndexOf(target.vm), quota::LeaseNotice{kShard(), target.stamp});
+      vms_[i].lender.RecordSent(Shard(), now_);
+      Send(i, IndexOf(target.vm), quota::LeaseNotice{Shard(), target.stamp});
     }
   }
 
