--- a/src/bambootack/gateway/settings.cc
+++ b/src/bambootack/gateway/settings.cc
@@ -1,5 +1,9 @@
 #include "bambootack/gateway/settings.h"
 
+#include <charconv>
+#include <string>
+#include <string_view>
+#include <system_error>
 #include <utility>
 
 #include "bambootack/toml/address.h"
@@ -16,6 +20,19 @@
 constexpr std::int64_t kMaxMemoryMb = 1'048'576;
 constexpr std::int64_t kMaxDescriptors = 10'000'000;
 
+/// Reads a number that the platform fills in as text. A platform that does not
+/// know it leaves the placeholder or nothing; the defaults hold then.
+/// @return The number, or 0.
+std::int64_t Quantity(Reader& reader, std::string_view key, std::int64_t most) {
+  const std::string text = reader.String(key, "");
+  std::int64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  const bool valid = parsed.ec == std::errc() && parsed.ptr == end &&
+                     value >= 0 && value <= most;
+  return valid ? value : 0;
+}
+
 GatewaySettings ReadSettings(Reader& reader) {
   GatewaySettings result;
   result.name = reader.String("name");
@@ -26,9 +43,8 @@
   result.peer_address = Address(reader, "peer_address");
   result.store_address = Address(reader, "store_address");
   result.platform_bounds = reader.String("platform_bounds", "");
-  result.memory_mb = reader.Integer("memory_mb", 0, kMaxMemoryMb, 0);
-  result.max_descriptors =
-      reader.Integer("max_descriptors", 0, kMaxDescriptors, 0);
+  result.memory_mb = Quantity(reader, "memory_mb", kMaxMemoryMb);
+  result.max_descriptors = Quantity(reader, "max_descriptors", kMaxDescriptors);
   result.first_start = reader.Boolean("first_start", false);
   result.log_level =
       reader.Enum("log_level", settings::kLogLevelNames, &result.log_level);
