--- a/review/standin-2/rig.cc
+++ b/review/standin-2/rig.cc
@@ -29,6 +29,8 @@
     R"("recoveryS":15,"probesPerS":3,"floorShare":0.7})";
 constexpr double kBeatS = 1.5;
 
+thread_local int current_fd = -1;
+
 sockaddr_in AddressOf(const std::string& ip, int port) {
   sockaddr_in it{};
   it.sin_family = AF_INET;
@@ -262,7 +264,10 @@
   close(listener);
 }
 
+int CurrentFd() { return current_fd; }
+
 void Backend::Serve(int fd) {
+  current_fd = fd;
   Connection connection(fd);
   Message request;
   while (connection.Read(request)) {
@@ -350,7 +355,7 @@
   }
 }
 
-std::string Rig::Settings(std::size_t i) const {
+std::string Rig::Settings(std::size_t i, bool first) const {
   std::ifstream in("deploy/gateway.toml");
   std::string text{std::istreambuf_iterator<char>(in), {}};
   const std::string ip = GatewayIp(i);
@@ -365,7 +370,7 @@
       {"bounds", options_.bounds.empty() ? kBounds : options_.bounds},
       {"limits.memoryMb", fmt::format("{}", options_.memory_mb)},
       {"limits.maxFds", fmt::format("{}", options_.max_fds)},
-      {"firstStart", "true"}};
+      {"firstStart", first ? "true" : "false"}};
   std::size_t at = 0;
   while ((at = text.find("{{", at)) != std::string::npos) {
     const std::size_t end = text.find("}}", at);
@@ -404,6 +409,21 @@
           version, rows, services));
 }
 
+void Rig::Launch(std::size_t i, bool first) {
+  const std::string path = fmt::format("{}/node-{}.toml", folder_, i);
+  std::ofstream(path) << Settings(i, first);
+  gateways_[i] = std::make_unique<bench::Process>(
+      std::vector<std::string>{"target/bambootack-gateway", "--settings", path},
+      fmt::format("{}/node-{}.log", folder_, i));
+}
+
+void Rig::Restart(std::size_t i) { Launch(i, false); }
+
+bool Rig::IsReady(std::size_t i) const {
+  const std::string bytes = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
+  return Ask(GatewayIp(i), kReadyPort, bytes, 1000).status == 200;
+}
+
 bool Rig::Start() {
   PutConfig(7, options_.routes);
   io_thread_ = std::thread([this] {
@@ -413,17 +433,12 @@
   beat_thread_ = std::thread([this] { Beat(); });
   SleepMs(300);
   for (std::size_t i = 0; i < options_.gateways; ++i) {
-    const std::string path = fmt::format("{}/node-{}.toml", folder_, i);
-    std::ofstream(path) << Settings(i);
-    gateways_.push_back(std::make_unique<bench::Process>(
-        std::vector<std::string>{"target/bambootack-gateway", "--settings",
-                                 path},
-        fmt::format("{}/node-{}.log", folder_, i)));
+    gateways_.emplace_back();
+    Launch(i, true);
   }
   const double limit = Now() + 15.0;
   for (std::size_t i = 0; i < options_.gateways;) {
-    const std::string bytes = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
-    if (Ask(GatewayIp(i), kReadyPort, bytes, 1000).status == 200) {
+    if (IsReady(i)) {
       ++i;
     } else if (Now() > limit) {
       return false;
--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -123,6 +123,9 @@
   std::atomic<int> threads_{0};
 };
 
+/// Connection that the handler of this thread serves.
+int CurrentFd();
+
 struct Route {
   std::string prefix;
   std::string type;
@@ -155,6 +158,9 @@
   void PutConfig(int version, const std::vector<Route>& routes);
   [[nodiscard]] std::string GatewayIp(std::size_t i) const;
   [[nodiscard]] bench::Process& Gateway(std::size_t i) { return *gateways_[i]; }
+  /// Starts a gateway again that has ended.
+  void Restart(std::size_t i);
+  [[nodiscard]] bool IsReady(std::size_t i) const;
   [[nodiscard]] std::string NewId();
   void Put(const std::string& topic, const std::string& key,
            const std::string& value);
@@ -167,7 +173,8 @@
 
  private:
   void Beat();
-  std::string Settings(std::size_t i) const;
+  std::string Settings(std::size_t i, bool first) const;
+  void Launch(std::size_t i, bool first);
 
   Options options_;
   std::string network_;
