Review stand-ins: end the gateways when a script is stopped

Promise: a script ends all processes that it started. A run that its time limit stops left the gateways behind; now the handler of SIGTERM ends them.

--- a/review/standin-2/rig.cc
+++ b/review/standin-2/rig.cc
@@ -50,6 +50,20 @@
       .count();
 }
 
+/// Gateways that run, for the end by a signal.
+constexpr std::size_t kMaxGateways = 8;
+std::atomic<pid_t> gateway_pids[kMaxGateways];
+
+/// Ends the gateways with this process when `run.sh` stops it.
+void EndAll(int /*signal*/) {
+  for (const auto& it : gateway_pids) {
+    if (it > 0) {
+      kill(it, SIGKILL);
+    }
+  }
+  _exit(2);
+}
+
 }  // namespace
 
 double Now() {
@@ -213,7 +227,7 @@
   if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) !=
           0 ||
       listen(fd, 256) != 0) {
-    std::exit(2);
+    EndAll(0);
   }
   {
     const std::scoped_lock lock(mutex_);
@@ -288,6 +302,8 @@
               fmt::format("review-2-{}", getpid())),
       store_(io_, network_ + ".1:9100", 1) {
   std::filesystem::create_directories(folder_);
+  signal(SIGTERM, &EndAll);
+  signal(SIGINT, &EndAll);
 }
 
 Rig::~Rig() {
@@ -296,6 +312,9 @@
     beat_thread_.join();
   }
   gateways_.clear();
+  for (auto& it : gateway_pids) {
+    it = 0;
+  }
   backends.clear();
   io_.stop();
   if (io_thread_.joinable()) {
@@ -415,6 +434,7 @@
   gateways_[i] = std::make_unique<bench::Process>(
       std::vector<std::string>{"target/bambootack-gateway", "--settings", path},
       fmt::format("{}/node-{}.log", folder_, i));
+  gateway_pids[i % kMaxGateways] = gateways_[i]->Id();
 }
 
 void Rig::Restart(std::size_t i) { Launch(i, false); }
