Review cases: each program lies in the folder of its case

Moves the programs from review/standin-2/ and renames the common stand-ins; the checks are unchanged.

--- a/review/standin-2/case_poison.cc
+++ b/review/6/main.cc
@@ -9,7 +9,7 @@
 
 #include <cstdlib>
 
-#include "rig.h"
+#include "review/rig-2.h"
 
 namespace {
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,17 +6,17 @@
 out=target/review-2
 mkdir -p "$out"
 flags=(-std=c++20 -O1 -Wall -Wextra -DASIO_STANDALONE
-       -DASIO_DISABLE_STD_ALIGNED_ALLOC -I. -Isrc -Ireview/standin-2)
+       -DASIO_DISABLE_STD_ALIGNED_ALLOC -I. -Isrc)
 libraries=(target/libbambootack_platform.a target/libbambootack_net.a
            target/libbambootack.a -lhttp_parser -lcurl -lfmt -lxxhash -lsodium
            -lpthread)
 objects=()
-for source in review/standin-2/rig.cc standin/platform/store.cc \
+for source in review/rig-2.cc standin/platform/store.cc \
   bench/scenario/process.cc; do
   objects+=("$out/$(basename "$source" .cc).o")
   g++ "${flags[@]}" -c "$source" -o "${objects[-1]}"
 done
-for source in review/standin-2/case_*.cc; do
-  g++ "${flags[@]}" "$source" "${objects[@]}" "${libraries[@]}" \
-    -o "$out/$(basename "$source" .cc)"
+for n in 6 7 8 9 10; do
+  g++ "${flags[@]}" "review/$n/main.cc" "${objects[@]}" "${libraries[@]}" \
+    -o "$out/case-$n"
 done
--- a/review/standin-2/rig.cc
+++ b/review/rig-2.cc
@@ -1,4 +1,4 @@
-#include "rig.h"
+#include "rig-2.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
--- a/review/standin-2/rig.h
+++ b/review/rig-2.h
@@ -1,5 +1,5 @@
-#ifndef REVIEW_STANDIN_2_RIG_H_
-#define REVIEW_STANDIN_2_RIG_H_
+#ifndef REVIEW_RIG_2_H_
+#define REVIEW_RIG_2_H_
 
 #include <asio.hpp>
 #include <atomic>
@@ -192,4 +192,4 @@
 
 }  // namespace rig
 
-#endif  // REVIEW_STANDIN_2_RIG_H_
+#endif  // REVIEW_RIG_2_H_
