--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -17,6 +17,6 @@
   g++ "${flags[@]}" -c "$source" -o "${objects[-1]}"
 done
 for n in 6 7 8 9 10; do
-  g++ "${flags[@]}" "review/$n/main.cc" "${objects[@]}" "${libraries[@]}" \
+  g++ "${flags[@]}" "review/$n/case.cc" "${objects[@]}" "${libraries[@]}" \
     -o "$out/case-$n"
 done
