Poison requests: VMs look for the crash by themselves

Cause: a crash counted only if the next request to the server could not connect, or its entry went or changed, within 2.5 s. Only repeatable requests are sent to a server that has just failed, and entries go after 4.5 s. With requests alone there may be no evidence at all.

Change: after a lost connection, or an answer that broke off, the dispatcher and the entry connect to the server without a request. Two refusals in a row, 0.25 s apart, are a crash. A server that is back before that is told by its entry: a later start under its id or at its address counts for 10 s, so does a 421. Servers that are draining or gone are left out, and a removal is no evidence while a process listens at the address.

Related paths: a failure to connect was evidence by itself, although a sound server may reset a connection before it is established; it now asks for a check. One crash that two VMs had found counted twice; crashes are told with the start of their server.

New log event 727, metric bambootack_gateway_connection_checks_total.

--- a/src/bambootack/gateway/codec.cc
+++ b/src/bambootack/gateway/codec.cc
@@ -132,7 +132,7 @@
 
 template <typename A>
 void serialize(A& ar, CrashNotice& it) {
-  ar(it.fingerprint, it.server);
+  ar(it.fingerprint, it.server, it.started);
 }
 
 template <typename A>
--- /dev/null
+++ b/src/bambootack/gateway/connection_checks.cc
@@ -0,0 +1,89 @@
+#include "bambootack/gateway/connection_checks.h"
+
+#include <algorithm>
+
+namespace bambootack::gateway {
+namespace {
+
+/// Time between two checks of a server.
+constexpr core::Duration kCheckInterval = std::chrono::milliseconds(250);
+
+/// A single refusal may come from a server that limits its connections.
+constexpr int kRefusalsWhenDown = 2;
+
+/// Failures after which the checks of a server end without a verdict.
+constexpr int kMaxFailures = 5;
+
+}  // namespace
+
+void ConnectionChecks::Request(const std::string& server,
+                               const std::string& address, core::Time now) {
+  const auto [found, added] = series_.try_emplace(server);
+  Series& it = found->second;
+  it.address = address;
+  it.failures = 0;
+  switch (it.state) {
+    case State::kDue:
+      it.due = added ? now : it.due;
+      break;
+    case State::kInFlight:
+      it.requested_again = true;
+      break;
+    case State::kDone:
+      it.state = State::kDue;
+      it.due = std::max(now, it.began + kCheckInterval);
+      it.refusals = 0;
+      break;
+  }
+}
+
+std::vector<ConnectionCheck> ConnectionChecks::TakeDue(core::Time now) {
+  std::erase_if(series_, [&](const auto& it) {
+    return it.second.state == State::kDone &&
+           it.second.began + kCheckInterval <= now;
+  });
+  std::vector<ConnectionCheck> due;
+  for (auto& [server, it] : series_) {
+    if (it.state == State::kDue && it.due <= now) {
+      it.state = State::kInFlight;
+      it.began = now;
+      due.push_back({server, it.address});
+    }
+  }
+  return due;
+}
+
+std::optional<core::Time> ConnectionChecks::NextTimer() const {
+  std::optional<core::Time> next;
+  for (const auto& [server, it] : series_) {
+    if (it.state == State::kDue) {
+      next = std::min(next.value_or(it.due), it.due);
+    }
+  }
+  return next;
+}
+
+std::optional<ConnectionChecks::Verdict> ConnectionChecks::RecordResult(
+    std::string_view server, ConnectionResult result, core::Time now) {
+  const auto found = series_.find(server);
+  if (found == series_.end() || found->second.state != State::kInFlight) {
+    return std::nullopt;
+  }
+  Series& it = found->second;
+  it.failures += result == ConnectionResult::kFailed ? 1 : 0;
+  it.refusals = result == ConnectionResult::kRefused ? it.refusals + 1 : 0;
+  const bool listening = result == ConnectionResult::kAccepted;
+  const bool down = it.refusals >= kRefusalsWhenDown;
+  const bool done = listening || down || it.failures >= kMaxFailures;
+  if (done && !it.requested_again) {
+    it.state = State::kDone;
+  } else {
+    it.state = State::kDue;
+    it.due = std::max(now, it.began + kCheckInterval);
+  }
+  it.requested_again = false;
+  return listening || down ? std::optional(Verdict{listening, it.began})
+                           : std::nullopt;
+}
+
+}  // namespace bambootack::gateway
--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -337,6 +337,9 @@
   if (const auto removal = registry_.NextTimer(); removal && *removal < *next) {
     next = removal;
   }
+  if (const auto check = poison_detector_.NextTimer(); check) {
+    next = std::min(*next, *check);
+  }
   if (NeedsKeyConfirmation() && !peers_.Peers().empty()) {
     next = std::min(*next, keys_.NextTimer());
   }
@@ -446,15 +449,52 @@
 
 void Gateway::RecordFinishedAttempts(core::Time now) {
   for (const FinishedAttempt& it : pool_.TakeFinishedAttempts()) {
-    if (it.outcome == AttemptOutcome::kLost) {
-      poison_detector_.RecordLostConnection(it.fingerprint, it.server,
+    RecordFinishedAttempt(it, now);
+  }
+  CheckLostServers(now);
+  ReportCrashes(now);
+}
+
+void Gateway::RecordFinishedAttempt(const FinishedAttempt& attempt,
+                                    core::Time now) {
+  switch (attempt.outcome) {
+    case AttemptOutcome::kServed:
+      poison_detector_.RecordServed(attempt.fingerprint);
+      break;
+    case AttemptOutcome::kLost:
+    case AttemptOutcome::kInvalid:  // It may have crashed within the answer.
+      poison_detector_.RecordLostConnection(attempt.fingerprint, attempt.server,
                                             registry_, now);
-    } else if (it.outcome == AttemptOutcome::kUnreachable) {
-      poison_detector_.RecordServerDown(it.server, now);
-    } else if (it.outcome == AttemptOutcome::kServed) {
-      poison_detector_.RecordServed(it.fingerprint);
-    }
+      break;
+    case AttemptOutcome::kUnreachable:
+      poison_detector_.RecordUnreachable(attempt.server, now);
+      break;
+    case AttemptOutcome::kWrongServer:
+      poison_detector_.RecordServerReplaced(attempt.server, now);
+      break;
+    case AttemptOutcome::kServerError:
+    case AttemptOutcome::kNotExecuted:
+    case AttemptOutcome::kTimedOut:
+    case AttemptOutcome::kCancelled:
+    case AttemptOutcome::kUnused:
+      break;
   }
+}
+
+/// Connects to servers that may have crashed.
+void Gateway::CheckLostServers(core::Time now) {
+  for (ConnectionCheck& it : poison_detector_.TakeDueChecks(now)) {
+    actions_.emplace_back(CheckConnection{std::move(it)});
+  }
+}
+
+void Gateway::OnConnectionChecked(std::string_view server,
+                                  ConnectionResult result, core::Time now) {
+  metrics_.CountConnectionCheck(result);
+  Log(log::EventId::kServerChecked,
+      fmt::format("server={} result={}", server,
+                  kConnectionResultNames.Name(result)));
+  poison_detector_.RecordCheck(server, result, now);
   ReportCrashes(now);
 }
 
--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -70,6 +70,12 @@
   std::uint64_t id = 0;
 };
 
+/// @brief Action: connects to a server and closes the connection without a
+/// request. Report the result by `OnConnectionChecked`.
+struct CheckConnection {
+  ConnectionCheck check;
+};
+
 /// @brief Action: sends a message to the gateway on another VM.
 struct SendToPeer {
   core::VmId vm{};
@@ -83,8 +89,8 @@
 
 /// @brief I/O that the daemon performs on behalf of a gateway.
 using GatewayAction =
-    std::variant<node::AnswerCaller, StartAttempt, CancelAttempt, SendToPeer,
-                 SetMembers, node::WriteLog>;
+    std::variant<node::AnswerCaller, StartAttempt, CancelAttempt,
+                 CheckConnection, SendToPeer, SetMembers, node::WriteLog>;
 
 /// @brief Forwards requests, which carry no idempotency keys, to backend
 /// servers. Only the entry decides on retries of a request. The dispatcher of
@@ -135,6 +141,10 @@
   void OnAttemptFinished(std::uint64_t attempt_id, node::AttemptEnd end,
                          core::HttpAnswer answer, core::Time now);
 
+  /// @brief Handles the result of a `CheckConnection`.
+  void OnConnectionChecked(std::string_view server, ConnectionResult result,
+                           core::Time now);
+
   /// @brief Handles a message from the gateway on another VM.
   void OnMessage(core::VmId from, PeerMessage message, core::Time now);
 
@@ -368,6 +378,8 @@
   void Erase(core::Handle handle);
   void ReportHealthChanges();
   void RecordFinishedAttempts(core::Time now);
+  void RecordFinishedAttempt(const FinishedAttempt& attempt, core::Time now);
+  void CheckLostServers(core::Time now);
   void ReportCrashes(core::Time now);
   void Log(log::EventId id, std::string detail);
 
--- a/src/bambootack/gateway/gateway_attempts.cc
+++ b/src/bambootack/gateway/gateway_attempts.cc
@@ -405,6 +405,9 @@
   if (finished.granter != options_.vm) {
     pool_.RecordAttempt(finished.slot.server, request.route->id,
                         now - finished.started, outcome, now);
+    // The granter does so too, but the outcome may not reach it.
+    RecordFinishedAttempt({request.fingerprint, finished.slot.server, outcome},
+                          now);
   }
   if (end == node::AttemptEnd::kAnswered &&
       outcome != AttemptOutcome::kInvalid) {
@@ -498,7 +501,7 @@
     dispatchers.erase(options_.vm);
     for (const core::VmId vm : dispatchers) {
       actions_.emplace_back(
-          SendToPeer{vm, CrashNotice{it.fingerprint, it.server}});
+          SendToPeer{vm, CrashNotice{it.fingerprint, it.server, it.started}});
     }
   }
 }
--- a/src/bambootack/gateway/gateway_peers.cc
+++ b/src/bambootack/gateway/gateway_peers.cc
@@ -135,7 +135,8 @@
 
 void Gateway::Handle(core::VmId /*from*/, CrashNotice& message,
                      core::Time now) {
-  poison_detector_.RecordCrash(message.fingerprint, message.server, now);
+  poison_detector_.RecordCrash(message.fingerprint, message.server,
+                               message.started, now);
 }
 
 }  // namespace bambootack::gateway
--- a/src/bambootack/gateway/messages.h
+++ b/src/bambootack/gateway/messages.h
@@ -54,6 +54,7 @@
 struct CrashNotice {
   std::uint64_t fingerprint = 0;
   std::string server;
+  std::int64_t started = 0;  ///< Start of the server that crashed.
 };
 
 /// @brief Announces a VM that has started, or is leaving, to its peers.
--- a/src/bambootack/gateway/metrics.cc
+++ b/src/bambootack/gateway/metrics.cc
@@ -30,6 +30,9 @@
 constexpr MetricInfo kHealthChanges{"bambootack_gateway_trust_changes_total",
                                     "counter",
                                     "Changes of trust in backend servers."};
+constexpr MetricInfo kConnectionChecks{
+    "bambootack_gateway_connection_checks_total", "counter",
+    "Connections that check whether a server has crashed."};
 constexpr MetricInfo kKeyChecks{"bambootack_gateway_key_checks_total",
                                 "counter", "Checks of API keys of callers."};
 constexpr MetricInfo kTokens{
@@ -79,12 +82,12 @@
                             "1 if this VM takes traffic."};
 
 constexpr std::array kCatalogue{
-    kAnswers,     kAttempts,       kHealthChanges,      kKeyChecks,
-    kTokens,      kTokenTimeouts,  kDispatcherTimeouts, kStoreCalls,
-    kPeerBytes,   kLeavingServers, kServerPauses,       kLatency,
-    kSlotWait,    kTimerDelay,     kInFlight,           kServers,
-    kMembers,     kConfigVersion,  kStateAge,           kKeyAge,
-    kQuotaShares, kReady};
+    kAnswers,    kAttempts,    kHealthChanges,  kConnectionChecks,
+    kKeyChecks,  kTokens,      kTokenTimeouts,  kDispatcherTimeouts,
+    kStoreCalls, kPeerBytes,   kLeavingServers, kServerPauses,
+    kLatency,    kSlotWait,    kTimerDelay,     kInFlight,
+    kServers,    kMembers,     kConfigVersion,  kStateAge,
+    kKeyAge,     kQuotaShares, kReady};
 
 }  // namespace
 
@@ -102,6 +105,11 @@
   ++health_changes_[fmt::format("to=\"{}\"", kServerHealthNames.Name(to))];
 }
 
+void GatewayMetrics::CountConnectionCheck(ConnectionResult result) {
+  ++connection_checks_[fmt::format("result=\"{}\"",
+                                   kConnectionResultNames.Name(result))];
+}
+
 void GatewayMetrics::CountKeyCheck(customers::KeyCheck check) {
   ++key_checks_[fmt::format("result=\"{}\"",
                             customers::kKeyCheckNames.Name(check))];
@@ -143,6 +151,7 @@
   metrics::WriteCounts(out, kAnswers, answers_);
   metrics::WriteCounts(out, kAttempts, attempts_);
   metrics::WriteCounts(out, kHealthChanges, health_changes_);
+  metrics::WriteCounts(out, kConnectionChecks, connection_checks_);
   metrics::WriteCounts(out, kKeyChecks, key_checks_);
   WriteTokens(out);
   metrics::WriteValue(out, kTokenTimeouts, token_timeouts_);
--- a/src/bambootack/gateway/metrics.h
+++ b/src/bambootack/gateway/metrics.h
@@ -10,6 +10,7 @@
 
 #include "bambootack/core/time.h"
 #include "bambootack/customers/directory.h"
+#include "bambootack/gateway/connection_checks.h"
 #include "bambootack/gateway/model.h"
 #include "bambootack/gateway/server_pool.h"
 #include "bambootack/metrics/metric_info.h"
@@ -46,6 +47,9 @@
   /// @brief Counts a change of a server's health.
   void CountHealthChange(ServerHealth to);
 
+  /// @brief Counts a connection that checks whether a server is up.
+  void CountConnectionCheck(ConnectionResult result);
+
   /// @brief Counts the result of the check of an API key.
   void CountKeyCheck(customers::KeyCheck check);
 
@@ -92,6 +96,7 @@
   Counts answers_;
   Counts attempts_;
   Counts health_changes_;
+  Counts connection_checks_;
   Counts key_checks_;
   struct TokenCounts {
     std::uint64_t granted = 0;
--- a/src/bambootack/gateway/poison_request_detector.cc
+++ b/src/bambootack/gateway/poison_request_detector.cc
@@ -1,5 +1,7 @@
 #include "bambootack/gateway/poison_request_detector.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -8,10 +10,14 @@
 namespace bambootack::gateway {
 namespace {
 
-/// A crash is detected within this time, by the next request to the server: the
-/// server is ejected for 0.8 s after a lost connection and then probed.
-constexpr core::Duration kLostConnectionLifetime =
-    std::chrono::milliseconds(2500);
+/// Time within which refused connections belong to a lost one. A server that
+/// leaves serves for 2 s after its entry has gone.
+constexpr core::Duration kMaxTimeToRefusal = std::chrono::milliseconds(2500);
+
+/// Time within which the end of a server belongs to a lost connection. The
+/// store drops the entry of a server after three heartbeats of 1.5 s, and may
+/// be away for seconds; a server that has restarted reports within a heartbeat.
+constexpr core::Duration kLostConnectionLifetime = std::chrono::seconds(10);
 
 /// Maximum number of lost connections kept, which bounds the memory during a
 /// flood of connection resets.
@@ -27,57 +33,115 @@
                       core::HashBytes(http.method, core::HashBytes(host))));
 }
 
+template <typename Predicate>
+void PoisonRequestDetector::ConfirmCrashesIf(core::Time now,
+                                             Predicate has_crashed) {
+  ExpireLostConnections(now);
+  std::erase_if(lost_connections_, [&](const LostConnection& it) {
+    const bool crashed = has_crashed(it);
+    if (crashed) {
+      ConfirmCrash(it, now);
+    }
+    return crashed;
+  });
+}
+
 void PoisonRequestDetector::RecordLostConnection(std::uint64_t fingerprint,
                                                  std::string_view server,
                                                  const ServerRegistry& registry,
                                                  core::Time now) {
   ExpireLostConnections(now);
-  if (lost_connections_.size() >= kMaxLostConnections) {
-    lost_connections_.pop_front();
-  }
-  LostConnection lost{{fingerprint, std::string(server), {}}, 0, now};
   const auto it = registry.Servers().find(server);
-  if (it == registry.Servers().end()) {
-    ConfirmCrash(lost, now);
+  if (it == registry.Servers().end() || it->second.record.draining) {
     return;
   }
-  lost.crash.service = it->second.record.service;
-  lost.started = it->second.record.started;
-  lost_connections_.push_back(std::move(lost));
+  if (lost_connections_.size() >= kMaxLostConnections) {
+    lost_connections_.pop_front();
+  }
+  const ServerRecord& record = it->second.record;
+  lost_connections_.push_back(
+      {{fingerprint, record.id, record.started, record.service},
+       record.address,
+       now});
+  checks_.Request(record.id, record.address, now);
 }
 
 void PoisonRequestDetector::RecordServerDown(std::string_view server,
                                              core::Time now) {
+  ConfirmCrashesIf(now, [&](const LostConnection& it) {
+    return it.crash.server == server && now < it.lost_at + kMaxTimeToRefusal;
+  });
+}
+
+void PoisonRequestDetector::RecordUnreachable(std::string_view server,
+                                              core::Time now) {
   ExpireLostConnections(now);
-  std::erase_if(lost_connections_, [&](const LostConnection& it) {
-    const bool crashed = it.crash.server == server;
-    if (crashed) {
-      ConfirmCrash(it, now);
-    }
-    return crashed;
+  const auto it = std::find_if(
+      lost_connections_.begin(), lost_connections_.end(),
+      [&](const LostConnection& lost) { return lost.crash.server == server; });
+  if (it != lost_connections_.end()) {
+    checks_.Request(it->crash.server, it->address, now);
+  }
+}
+
+void PoisonRequestDetector::RecordServerReplaced(std::string_view server,
+                                                 core::Time now) {
+  ConfirmCrashesIf(
+      now, [&](const LostConnection& it) { return it.crash.server == server; });
+}
+
+void PoisonRequestDetector::RecordCheck(std::string_view server,
+                                        ConnectionResult result,
+                                        core::Time now) {
+  const auto verdict = checks_.RecordResult(server, result, now);
+  if (!verdict) {
+    return;
+  }
+  if (!verdict->listening) {
+    RecordServerDown(server, now);
+    return;
+  }
+  // It may have restarted before the check, which its entry will tell.
+  for (LostConnection& it : lost_connections_) {
+    it.listening = it.listening ||
+                   (it.crash.server == server && it.lost_at <= verdict->began);
+  }
+}
+
+/// Tells whether the server of a lost connection is known to have ended. A
+/// server that is removed while a process listens at its address may be leaving
+/// without having said so; it has ended once another one has the address.
+bool PoisonRequestDetector::HasEnded(const LostConnection& lost,
+                                     const ServerRegistry& registry) {
+  const auto& servers = registry.Servers();
+  const auto it = servers.find(lost.crash.server);
+  const bool removed = it == servers.end();
+  if (removed ? !lost.listening
+              : it->second.record.started != lost.crash.started) {
+    return true;
+  }
+  return std::any_of(servers.begin(), servers.end(), [&](const auto& other) {
+    const ServerRecord& record = other.second.record;
+    return record.address == lost.address &&
+           record.started > lost.crash.started;
   });
 }
 
 void PoisonRequestDetector::Update(const ServerRegistry& registry,
                                    core::Time now) {
-  ExpireLostConnections(now);
   std::erase_if(lost_connections_, [&](const LostConnection& lost) {
     const auto it = registry.Servers().find(lost.crash.server);
-    const bool crashed = it == registry.Servers().end() ||
-                         it->second.record.started != lost.started;
-    if (crashed) {
-      ConfirmCrash(lost, now);
-    }
-    return crashed;
+    return it != registry.Servers().end() && it->second.record.draining;
   });
+  ConfirmCrashesIf(
+      now, [&](const LostConnection& it) { return HasEnded(it, registry); });
 }
 
 void PoisonRequestDetector::RecordCrash(std::uint64_t fingerprint,
                                         std::string_view server,
-                                        core::Time now) {
-  // The same server may crash again after a restart.
-  quarantine_.RecordServerDown(server);
-  quarantine_.RecordLoss(fingerprint, server, now);
+                                        std::int64_t started, core::Time now) {
+  quarantine_.RecordLoss(fingerprint, fmt::format("{} {}", server, started),
+                         now);
 }
 
 std::vector<Crash> PoisonRequestDetector::TakeCrashes() {
@@ -86,7 +150,8 @@
 
 void PoisonRequestDetector::ConfirmCrash(const LostConnection& lost,
                                          core::Time now) {
-  RecordCrash(lost.crash.fingerprint, lost.crash.server, now);
+  RecordCrash(lost.crash.fingerprint, lost.crash.server, lost.crash.started,
+              now);
   crashes_.push_back(lost.crash);
 }
 
--- a/src/bambootack/log/event.cc
+++ b/src/bambootack/log/event.cc
@@ -145,6 +145,10 @@
               "the VM that grants the quota of a customer did not answer in "
               "time; the request is refused",
               LineLimit::kRequest},
+    EventInfo{EventId::kServerChecked, LogLevel::kInfo, "server-checked",
+              "a VM connected to a server that had lost a request, to see "
+              "whether it is up",
+              LineLimit::kRequest},
 };
 
 }  // namespace
--- a/src/bambootack/log/event.h
+++ b/src/bambootack/log/event.h
@@ -68,6 +68,7 @@
   kKeysConfirmed = 724,
   kQuotaExhausted = 725,
   kQuotaOwnerSilent = 726,
+  kServerChecked = 727,
 };
 
 /// @brief How often an event is written; see `LineLimiter`.
--- a/src/bambootack/net/http_client.cc
+++ b/src/bambootack/net/http_client.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <deque>
 #include <mutex>
 #include <optional>
@@ -224,6 +225,10 @@
 }
 
 node::AttemptEnd EndOf(CURLcode code, const Transfer& transfer) {
+  if (transfer.call.connect_only) {
+    return code == CURLE_OK ? node::AttemptEnd::kAnswered
+                            : node::AttemptEnd::kNotConnected;
+  }
   using HeadState = AnswerHeadParser::State;
   const HeadState head = transfer.head.GetState();
   if (head == HeadState::kInvalid ||
@@ -256,6 +261,14 @@
   }
 }
 
+/// Tells whether nothing listens at the address of a transfer. A connection may
+/// also be reset by a process that listens.
+bool IsRefused(CURLcode code, CURL* easy) {
+  CurlLong error = 0;
+  curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &error);
+  return code == CURLE_COULDNT_CONNECT && error == ECONNREFUSED;
+}
+
 struct StartCommand {
   std::unique_ptr<Transfer> transfer;
 };
@@ -383,6 +396,7 @@
     const CurlLong fresh = call.fresh_connection ? 1 : 0;
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh);
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, fresh);
+    curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, call.connect_only ? 1L : 0L);
     if (!call.http.Body().empty() || call.http.method == "POST" ||
         call.http.method == "PUT" || call.http.method == "PATCH") {
       curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
@@ -444,6 +458,7 @@
     curl_multi_remove_handle(multi_.get(), easy);
     HttpCallResult result;
     result.end = EndOf(code, *transfer);
+    result.refused = IsRefused(code, easy);
     if (result.end == node::AttemptEnd::kAnswered) {
       result.answer = std::move(transfer->answer);
     }
--- a/src/bambootack/net/http_client.h
+++ b/src/bambootack/net/http_client.h
@@ -26,6 +26,9 @@
   /// Uses a connection of its own. A request on a kept one may meet its end,
   /// and then nobody knows whether it ran.
   bool fresh_connection = false;
+  /// Connects and closes the connection without a request. The call then ends
+  /// as `kAnswered`, with an empty answer, or as `kNotConnected`.
+  bool connect_only = false;
   /// Accepts an answer without a length, which ends with its connection.
   bool accept_unframed = false;
   /// Called on the client's thread when the head of an answer has arrived whose
@@ -45,6 +48,8 @@
 struct HttpCallResult {
   node::AttemptEnd end = node::AttemptEnd::kLost;
   core::HttpAnswer answer;
+  /// Nothing listens at the address; set with `kNotConnected`.
+  bool refused = false;
 };
 
 /// @brief HTTP/1.1 client (libcurl) with one thread for all transfers. No
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -73,6 +73,9 @@
 /// Ids of requests to the store, in a range that ids of attempts do not reach.
 constexpr std::uint64_t kFirstStoreRequestId = 1ULL << 62;
 
+/// Ids of connections that check servers, in another such range.
+constexpr std::uint64_t kFirstCheckId = 1ULL << 61;
+
 /// Time since the boot of the VM. Unlike the steady clock it includes
 /// suspension, in which leases run out and API keys may be withdrawn.
 core::Time Now() {
@@ -111,6 +114,14 @@
   return std::max<std::size_t>(result, 1);
 }
 
+gateway::ConnectionResult ResultOf(const net::HttpCallResult& result) {
+  if (result.end == node::AttemptEnd::kAnswered) {
+    return gateway::ConnectionResult::kAccepted;
+  }
+  return result.refused ? gateway::ConnectionResult::kRefused
+                        : gateway::ConnectionResult::kFailed;
+}
+
 }  // namespace
 
 class Shell::Impl {
@@ -425,6 +436,24 @@
     client_.Cancel(action.id);
   }
 
+  void Perform(gateway::CheckConnection action, core::Time /*now*/) {
+    net::HttpCall call;
+    call.address = std::move(action.check.address);
+    call.timeout = kConnectTimeout;
+    call.connect_timeout = kConnectTimeout;
+    call.fresh_connection = true;
+    call.connect_only = true;
+    client_.Start(++last_check_id_, std::move(call),
+                  [this, server = std::move(action.check.server)](
+                      const net::HttpCallResult& result) {
+                    asio::post(
+                        io_context_, [this, server, check = ResultOf(result)] {
+                          gateway_.OnConnectionChecked(server, check, Now());
+                          ProcessEvents();
+                        });
+                  });
+  }
+
   void Perform(const gateway::SendToPeer& action, core::Time /*now*/) {
     if (peers_) {
       gateway_.Metrics().CountPeerBytes(
@@ -477,6 +506,7 @@
   bool ready_logged_ = false;
   std::uint64_t limits_version_ = 0;  ///< Whose limits on callers are applied.
   std::uint64_t last_store_request_id_ = kFirstStoreRequestId;
+  std::uint64_t last_check_id_ = kFirstCheckId;
   net::HttpClient client_;
   std::shared_ptr<net::BodyMemory> body_memory_;
   std::optional<PeerMessenger> peers_;
--- a/test/bambootack/gateway/codec_test.cc
+++ b/test/bambootack/gateway/codec_test.cc
@@ -57,7 +57,7 @@
           update,
           gateway::StateQuery{4, 12},
           gateway::SlotReply{{{1, 2}, 3}, std::nullopt, true, true},
-          gateway::CrashNotice{42, "a"},
+          gateway::CrashNotice{42, "a", 7},
           gateway::LeavingNotice{"a", 1700}};
 }
 
--- a/test/bambootack/gateway/gateway_fixture.h
+++ b/test/bambootack/gateway/gateway_fixture.h
@@ -127,6 +127,7 @@
     attempts.clear();
     answers.clear();
     cancelled.clear();
+    checks.clear();
     messages.clear();
     for (GatewayAction& it : gateway.TakeActions()) {
       if (auto* attempt = std::get_if<StartAttempt>(&it)) {
@@ -135,6 +136,8 @@
         answers.push_back(std::move(*answer));
       } else if (auto* cancel = std::get_if<CancelAttempt>(&it)) {
         cancelled.push_back(cancel->id);
+      } else if (auto* check = std::get_if<CheckConnection>(&it)) {
+        checks.push_back(std::move(check->check));
       } else if (auto* message = std::get_if<SendToPeer>(&it)) {
         messages.push_back(std::move(*message));
       }
@@ -150,6 +153,7 @@
   std::vector<StartAttempt> attempts;
   std::vector<node::AnswerCaller> answers;
   std::vector<std::uint64_t> cancelled;
+  std::vector<ConnectionCheck> checks;
   std::vector<SendToPeer> messages;
 };
 
--- a/test/bambootack/net/http_client_test.cc
+++ b/test/bambootack/net/http_client_test.cc
@@ -345,6 +345,41 @@
   }
 }
 
+// Guards against a check of a server that is taken for a request, or that
+// cannot tell a server that resets connections from one that is down.
+BOOST_AUTO_TEST_CASE(connections_without_a_request) {
+  net::HttpClient client(kMaxBody);
+  const auto connect = [&](const std::string& address) {
+    net::HttpCall call;
+    call.address = address;
+    call.timeout = kLong;
+    call.fresh_connection = true;
+    call.connect_only = true;
+    return Run(client, std::move(call));
+  };
+  std::string address;
+  for (const bool reset : {false, true}) {
+    std::string received;
+    {
+      RawServer server([&](RawServer::Socket& socket, int) {
+        if (reset) {
+          RawServer::Reset(socket);
+        } else {
+          received = server.ReadRequest(socket);
+        }
+      });
+      address = server.Address();
+      const auto result = connect(address);
+      BOOST_TEST((reset || result.end == AttemptEnd::kAnswered));
+      BOOST_TEST(!result.refused);
+    }
+    BOOST_TEST(received.empty());
+  }
+  const auto result = connect(address);
+  BOOST_TEST((result.end == AttemptEnd::kNotConnected));
+  BOOST_TEST(result.refused);
+}
+
 // Guards against refused connections that count as sent, and against timeouts
 // after sending that count as unsent.
 BOOST_AUTO_TEST_CASE(refused_connections_and_timeouts) {
