Poison requests: fewer checks, and no crash long after an accepted one

Once a process has listened at the address, the end of its server counts for 2.5 s after the loss, and for 10 s only otherwise. The dispatcher alone checks, and leaves a second after each verdict.

--- a/src/bambootack/gateway/connection_checks.cc
+++ b/src/bambootack/gateway/connection_checks.cc
@@ -5,9 +5,13 @@
 namespace bambootack::gateway {
 namespace {
 
-/// Time between two checks of a server.
+/// Time between two checks of a server, until there is a verdict.
 constexpr core::Duration kCheckInterval = std::chrono::milliseconds(250);
 
+/// Time from a verdict's last check to the next one. Faulty servers reset many
+/// connections, and each check costs them another one.
+constexpr core::Duration kVerdictInterval = std::chrono::seconds(1);
+
 /// A single refusal may come from a server that limits its connections.
 constexpr int kRefusalsWhenDown = 2;
 
@@ -31,7 +35,7 @@
       break;
     case State::kDone:
       it.state = State::kDue;
-      it.due = std::max(now, it.began + kCheckInterval);
+      it.due = std::max(now, it.began + kVerdictInterval);
       it.refusals = 0;
       break;
   }
@@ -40,7 +44,7 @@
 std::vector<ConnectionCheck> ConnectionChecks::TakeDue(core::Time now) {
   std::erase_if(series_, [&](const auto& it) {
     return it.second.state == State::kDone &&
-           it.second.began + kCheckInterval <= now;
+           it.second.began + kVerdictInterval <= now;
   });
   std::vector<ConnectionCheck> due;
   for (auto& [server, it] : series_) {
@@ -75,12 +79,8 @@
   const bool listening = result == ConnectionResult::kAccepted;
   const bool down = it.refusals >= kRefusalsWhenDown;
   const bool done = listening || down || it.failures >= kMaxFailures;
-  if (done && !it.requested_again) {
-    it.state = State::kDone;
-  } else {
-    it.state = State::kDue;
-    it.due = std::max(now, it.began + kCheckInterval);
-  }
+  it.state = done && !it.requested_again ? State::kDone : State::kDue;
+  it.due = std::max(now, it.began + (done ? kVerdictInterval : kCheckInterval));
   it.requested_again = false;
   return listening || down ? std::optional(Verdict{listening, it.began})
                            : std::nullopt;
--- a/src/bambootack/gateway/gateway_attempts.cc
+++ b/src/bambootack/gateway/gateway_attempts.cc
@@ -405,9 +405,6 @@
   if (finished.granter != options_.vm) {
     pool_.RecordAttempt(finished.slot.server, request.route->id,
                         now - finished.started, outcome, now);
-    // The granter does so too, but the outcome may not reach it.
-    RecordFinishedAttempt({request.fingerprint, finished.slot.server, outcome},
-                          now);
   }
   if (end == node::AttemptEnd::kAnswered &&
       outcome != AttemptOutcome::kInvalid) {
--- a/src/bambootack/gateway/poison_request_detector.cc
+++ b/src/bambootack/gateway/poison_request_detector.cc
@@ -10,15 +10,16 @@
 namespace bambootack::gateway {
 namespace {
 
-/// Time within which refused connections belong to a lost one. A server that
-/// leaves serves for 2 s after its entry has gone.
-constexpr core::Duration kMaxTimeToRefusal = std::chrono::milliseconds(2500);
-
 /// Time within which the end of a server belongs to a lost connection. The
 /// store drops the entry of a server after three heartbeats of 1.5 s, and may
-/// be away for seconds; a server that has restarted reports within a heartbeat.
+/// be away for seconds.
 constexpr core::Duration kLostConnectionLifetime = std::chrono::seconds(10);
 
+/// The same if a process listened at the address afterwards, and for refused
+/// connections. A server that has restarted reports within a heartbeat; a sound
+/// one may end for other reasons later.
+constexpr core::Duration kMaxTimeToEnd = std::chrono::milliseconds(2500);
+
 /// Maximum number of lost connections kept, which bounds the memory during a
 /// flood of connection resets.
 constexpr std::size_t kMaxLostConnections = 1024;
@@ -69,7 +70,7 @@
 void PoisonRequestDetector::RecordServerDown(std::string_view server,
                                              core::Time now) {
   ConfirmCrashesIf(now, [&](const LostConnection& it) {
-    return it.crash.server == server && now < it.lost_at + kMaxTimeToRefusal;
+    return it.crash.server == server && now < it.lost_at + kMaxTimeToEnd;
   });
 }
 
@@ -156,10 +157,11 @@
 }
 
 void PoisonRequestDetector::ExpireLostConnections(core::Time now) {
-  while (!lost_connections_.empty() &&
-         lost_connections_.front().lost_at + kLostConnectionLifetime <= now) {
-    lost_connections_.pop_front();
-  }
+  std::erase_if(lost_connections_, [&](const LostConnection& it) {
+    return it.lost_at +
+               (it.listening ? kMaxTimeToEnd : kLostConnectionLifetime) <=
+           now;
+  });
 }
 
 }  // namespace bambootack::gateway
