HTTP client: heads, bodies and framing of answers share one account

Another operator reported a backend that sent bytes without end and took the memory of the VM that had called it. It can happen here: heads of short fields took 359 and 575 MB, trailers 218 MB, with 300 callers and a bound of 64 MB. Chunks of one byte held the other calls of a VM up to 1.2 s with 16 of them, and large bodies used up the account, so that the answers to other callers were cut off.

Cause: only bodies had an account. A line of six bytes costs some hundred here and in libcurl; framing could have eight times the bytes of its body; libcurl reads up to a hundred buffers of one answer in a row.

Change: AnswerMemory accounts for heads and bodies by what they cost. Large answers leave a quarter of it, and the largest gives way to one that is not large. Framing may have an eighth of its body and 64 KiB, buffers 4 KiB, answers of the store 2 MiB.

Tests: untrusted_servers starts a gateway before faulty servers and stores; six of its cases failed before, for memory or for ordinary callers that were not served. Processes that tests start no longer inherit descriptors: the listening socket of the store stayed open in the gateway.

--- a/bench/scenario/process.cc
+++ b/bench/scenario/process.cc
@@ -32,6 +32,8 @@
     posix_spawn_file_actions_addopen(&actions_, STDOUT_FILENO, log_file.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, kLogMode);
     posix_spawn_file_actions_adddup2(&actions_, STDOUT_FILENO, STDERR_FILENO);
+    // A listening socket of this process would stay open with the other one.
+    posix_spawn_file_actions_addclosefrom_np(&actions_, STDERR_FILENO + 1);
   }
   ~FileActions() { posix_spawn_file_actions_destroy(&actions_); }
   FileActions(const FileActions&) = delete;
--- a/src/bambootack/net/answer_head.h
+++ b/src/bambootack/net/answer_head.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string_view>
+#include <utility>
 
 #include "bambootack/core/http_message.h"
 
@@ -26,8 +27,10 @@
   /// @brief Status of the answer or, before `kComplete`, of an interim one.
   [[nodiscard]] int Status() const noexcept { return status_; }
 
-  /// @brief Fields so far, without those of interim answers.
-  [[nodiscard]] const core::Headers& Fields() const noexcept { return fields_; }
+  /// @brief Takes the fields of the answer, once it is complete.
+  [[nodiscard]] core::Headers TakeFields() noexcept {
+    return std::exchange(fields_, {});
+  }
 
  private:
   [[nodiscard]] State NextState(std::string_view line);
--- a/src/bambootack/net/http_client.cc
+++ b/src/bambootack/net/http_client.cc
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <cerrno>
 #include <deque>
+#include <limits>
 #include <mutex>
 #include <optional>
 #include <string_view>
@@ -40,12 +41,25 @@
 constexpr int kProbeSeconds = 1;
 constexpr int kProbes = 2;
 
-constexpr std::size_t kMaxHeaderBytes = 64UL * 1024;
+/// Memory of a head, interim answers included. Each line is held by libcurl and
+/// here, and short fields take most of theirs for administration.
+constexpr std::size_t kMaxHeadBytes = 256UL * 1024;
+constexpr std::size_t kCopiesOfLine = 3;
+constexpr std::size_t kBytesPerLine = 256;
 
-/// Bytes received for each byte of a body, in chunks of one byte, and those
-/// beyond that. libcurl reads chunk extensions of any length.
-constexpr std::size_t kMaxBytesPerBodyByte = 8;
+/// Bytes of chunk sizes, extensions and trailers: a part of the body, and as
+/// much as a body in some 10,000 chunks of one byte needs. Each chunk costs the
+/// same time as the head of an answer, however small it is.
+constexpr std::size_t kBodyBytesPerFramingByte = 8;
 constexpr std::size_t kMaxFramingBytes = 64UL * 1024;
+
+/// libcurl reads up to a hundred buffers of one answer before it turns to the
+/// others, which wait meanwhile.
+constexpr CurlLong kReceiveBufferBytes = 4096;
+
+/// Transfers that are kept for reuse, each with its buffers.
+constexpr std::size_t kMaxIdleTransfers = 64;
+
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
@@ -62,21 +76,15 @@
 using MultiHandle = std::unique_ptr<CURLM, MultiDeleter>;
 using HeaderList = std::unique_ptr<curl_slist, ListDeleter>;
 
-/// Bytes of the bodies in flight. Used on the client's thread only.
-struct BodyMemory {
-  AnswerLimits limits;
-  std::size_t used = 0;
-};
-
 /// One call in flight. libcurl keeps pointers into it.
 struct Transfer {
-  explicit Transfer(BodyMemory& memory) : body_memory(memory) {}
-  ~Transfer() { body_memory.used -= body_bytes; }
-  Transfer(const Transfer&) = delete;
-  Transfer& operator=(const Transfer&) = delete;
+  Transfer(AnswerMemory& memory, std::vector<std::uint64_t>& evicted)
+      : account(memory, [this, &evicted] {
+          answer = {};
+          evicted.push_back(id);
+        }) {}
 
-  BodyMemory& body_memory;
-  std::size_t body_bytes = 0;  ///< Part of `body_memory.used`.
+  AnswerMemory::Account account;
   std::uint64_t id = 0;
   HttpCall call;
   HttpClient::OnResult on_result;
@@ -84,10 +92,11 @@
   HeaderList headers;
   AnswerHeadParser head;
   core::HttpAnswer answer;
-  std::size_t header_bytes = 0;
-  std::size_t framed_bytes = 0;  ///< Received after the head.
-  bool oversized = false;        ///< Its framing exceeds the limits.
-  bool sending = false;          ///< Bytes of the request may have been sent.
+  std::size_t head_bytes = 0;      ///< Memory of the head.
+  std::size_t max_body_bytes = 0;  ///< By the limits and the head.
+  std::size_t framed_bytes = 0;    ///< Received after the head.
+  bool oversized = false;          ///< Its framing exceeds the limits.
+  bool sending = false;            ///< Bytes of the request may have been sent.
   /// Of a chunked body, once its head has been received.
   std::optional<ChunkedBodyValidator> chunks;
 };
@@ -116,17 +125,43 @@
   return CURL_SOCKOPT_OK;
 }
 
+/// Tells whether an answer has more framing than any body needs.
+bool IsOversized(const Transfer& transfer) {
+  const std::size_t body = transfer.answer.body.size();
+  return transfer.framed_bytes >
+         body + body / kBodyBytesPerFramingByte + kMaxFramingBytes;
+}
+
+/// Makes room for more of a body. The buffer doubles, so that it is copied
+/// seldom, unless there is memory for the bytes at hand only.
+bool ReserveBody(Transfer& transfer, std::size_t size) {
+  std::string& body = transfer.answer.body;
+  if (size > transfer.max_body_bytes) {
+    return false;
+  }
+  if (size <= body.capacity()) {
+    return true;
+  }
+  const std::size_t doubled =
+      std::clamp(2 * body.capacity(), size, transfer.max_body_bytes);
+  for (const std::size_t capacity : {doubled, size}) {
+    if (transfer.account.Resize(transfer.head_bytes + capacity)) {
+      body.reserve(capacity);
+      return true;
+    }
+  }
+  return false;
+}
+
 std::size_t OnBody(char* data, std::size_t size, std::size_t count,
                    void* user) {
   auto* transfer = static_cast<Transfer*>(user);
   const std::size_t n = size * count;
-  BodyMemory& memory = transfer->body_memory;
-  if (transfer->body_bytes + n > memory.limits.body_bytes ||
-      memory.used + n > memory.limits.total_body_bytes) {
+  transfer->oversized = IsOversized(*transfer);
+  if (transfer->oversized ||
+      !ReserveBody(*transfer, transfer->answer.body.size() + n)) {
     return 0;
   }
-  transfer->body_bytes += n;
-  memory.used += n;
   transfer->answer.body.append(data, n);
   return n;
 }
@@ -148,9 +183,7 @@
 int OnProgress(void* user, curl_off_t /*to_receive*/, curl_off_t /*received*/,
                curl_off_t /*to_send*/, curl_off_t /*sent*/) {
   auto* transfer = static_cast<Transfer*>(user);
-  transfer->oversized =
-      transfer->framed_bytes >
-      transfer->body_bytes * kMaxBytesPerBodyByte + kMaxFramingBytes;
+  transfer->oversized = IsOversized(*transfer);
   return transfer->oversized ? 1 : 0;
 }
 
@@ -174,10 +207,9 @@
   return false;
 }
 
-bool HasLargeBody(const core::HttpAnswer& answer) {
+std::optional<std::uint64_t> LengthOf(const core::HttpAnswer& answer) {
   const auto value = core::FindHeader(answer.headers, "Content-Length");
-  const auto length = value ? ParseContentLength(*value) : std::nullopt;
-  return length.value_or(0) > kLargeBodyBytes;
+  return value ? ParseContentLength(*value) : std::nullopt;
 }
 
 /// Handles the end of the head.
@@ -185,7 +217,7 @@
 bool BeginBody(Transfer& transfer) {
   core::HttpAnswer& answer = transfer.answer;
   answer.status = transfer.head.Status();
-  answer.headers = transfer.head.Fields();
+  answer.headers = transfer.head.TakeFields();
   const BodyFraming framing = FramingOf(answer.headers);
   if (!IsFramed(framing, answer, transfer.call)) {
     return false;
@@ -193,7 +225,11 @@
   if (framing == BodyFraming::kChunked) {
     transfer.chunks.emplace();
   }
-  if (transfer.call.on_large_body && HasLargeBody(answer)) {
+  const auto length = LengthOf(answer);
+  transfer.max_body_bytes = std::min<std::uint64_t>(
+      transfer.max_body_bytes,
+      length.value_or(std::numeric_limits<std::uint64_t>::max()));
+  if (transfer.call.on_large_body && length.value_or(0) > kLargeBodyBytes) {
     transfer.call.on_large_body();
   }
   return true;
@@ -203,10 +239,14 @@
                      void* user) {
   auto* transfer = static_cast<Transfer*>(user);
   const std::size_t n = size * count;
-  transfer->header_bytes += n;
-  if (transfer->header_bytes > kMaxHeaderBytes) {
+  const std::size_t head_bytes =
+      transfer->head_bytes + n * kCopiesOfLine + kBytesPerLine;
+  if (head_bytes > kMaxHeadBytes ||
+      !transfer->account.Resize(transfer->answer.body.capacity() +
+                                head_bytes)) {
     return 0;
   }
+  transfer->head_bytes = head_bytes;
   AnswerHeadParser& head = transfer->head;
   if (head.GetState() == AnswerHeadParser::State::kComplete) {
     return n;  // Trailers are checked with the chunks.
@@ -231,7 +271,7 @@
   }
   using HeadState = AnswerHeadParser::State;
   const HeadState head = transfer.head.GetState();
-  if (head == HeadState::kInvalid ||
+  if (head == HeadState::kInvalid || transfer.account.IsEvicted() ||
       (transfer.chunks && !transfer.chunks->IsValid())) {
     return node::AttemptEnd::kInvalid;
   }
@@ -282,7 +322,7 @@
 class HttpClient::Impl {
  public:
   explicit Impl(AnswerLimits limits)
-      : body_memory_{limits}, multi_(curl_multi_init()) {
+      : answer_memory_(limits), multi_(curl_multi_init()) {
     curl_multi_setopt(multi_.get(), CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
     thread_ = std::thread([this] { Run(); });
   }
@@ -300,9 +340,11 @@
   Impl& operator=(const Impl&) = delete;
 
   void Start(std::uint64_t id, HttpCall call, OnResult on_result) {
-    auto transfer = std::make_unique<Transfer>(body_memory_);
+    auto transfer = std::make_unique<Transfer>(answer_memory_, evicted_);
     transfer->id = id;
     transfer->call = std::move(call);
+    transfer->max_body_bytes = std::min(transfer->call.max_body_bytes,
+                                        answer_memory_.Limits().body_bytes);
     transfer->on_result = std::move(on_result);
     Push(StartCommand{std::move(transfer)});
   }
@@ -324,6 +366,7 @@
       int running = 0;
       curl_multi_perform(multi_.get(), &running);
       Collect();
+      EndEvicted();
       curl_multi_poll(multi_.get(), nullptr, 0, kPollMilliseconds, nullptr);
     }
   }
@@ -370,6 +413,7 @@
     // The environment must not redirect requests to a proxy.
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
     curl_easy_setopt(easy, CURLOPT_VERBOSE, 1L);
@@ -449,6 +493,15 @@
     }
   }
 
+  /// Ends the calls whose answers had to leave their memory to others.
+  void EndEvicted() {
+    for (const std::uint64_t id : std::exchange(evicted_, {})) {
+      if (const auto it = transfers_.find(id); it != transfers_.end()) {
+        Complete(it->second->easy.get(), CURLE_WRITE_ERROR);
+      }
+    }
+  }
+
   void Complete(CURL* easy, CURLcode code) {
     void* row = nullptr;
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, &row);
@@ -462,11 +515,14 @@
     if (result.end == node::AttemptEnd::kAnswered) {
       result.answer = std::move(transfer->answer);
     }
-    idle_.push_back(std::move(transfer->easy));
+    if (idle_.size() < kMaxIdleTransfers) {
+      idle_.push_back(std::move(transfer->easy));
+    }
     transfer->on_result(std::move(result));
   }
 
-  BodyMemory body_memory_;
+  AnswerMemory answer_memory_;
+  std::vector<std::uint64_t> evicted_;  ///< Ids of calls.
   MultiHandle multi_;
   std::mutex mutex_;
   std::deque<Command> commands_;
--- a/src/bambootack/net/http_client.h
+++ b/src/bambootack/net/http_client.h
@@ -10,13 +10,11 @@
 
 #include "bambootack/core/http_message.h"
 #include "bambootack/core/time.h"
+#include "bambootack/net/answer_memory.h"
 #include "bambootack/node/events.h"
 
 namespace bambootack::net {
 
-/// @brief Bodies above this size take long to arrive on a slow link.
-inline constexpr std::size_t kLargeBodyBytes = 32UL * 1024;
-
 /// @brief One request to send.
 struct HttpCall {
   std::string address;  ///< IP:port
@@ -29,6 +27,8 @@
   /// Connects and closes the connection without a request. The call then ends
   /// as `kAnswered`, with an empty answer, or as `kNotConnected`.
   bool connect_only = false;
+  /// Limit on the body of the answer, besides that of the client.
+  std::size_t max_body_bytes = std::numeric_limits<std::size_t>::max();
   /// Accepts an answer without a length, which ends with its connection.
   bool accept_unframed = false;
   /// Called on the client's thread when the head of an answer has arrived whose
@@ -36,14 +36,6 @@
   std::function<void()> on_large_body;
 };
 
-/// @brief Limits on the memory that answers take. A call that exceeds one ends
-/// as `kInvalid`, and its connection is closed.
-struct AnswerLimits {
-  std::size_t body_bytes = 0;  ///< Body of one answer.
-  /// Bodies of all calls in flight.
-  std::size_t total_body_bytes = std::numeric_limits<std::size_t>::max();
-};
-
 /// @brief How a call ended.
 struct HttpCallResult {
   node::AttemptEnd end = node::AttemptEnd::kLost;
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -33,6 +33,10 @@
 constexpr net::AnswerLimits kAnswerLimits{
     .body_bytes = 8UL * 1024 * 1024, .total_body_bytes = 24UL * 1024 * 1024};
 constexpr std::size_t kMegabyte = 1024UL * 1024;
+
+/// The store's pages have up to 1 MB of values, in base64. Parsed, an answer
+/// may take 24 times its bytes.
+constexpr std::size_t kMaxStoreAnswerBytes = 2 * kMegabyte;
 constexpr std::size_t kMaxBodyBytes = 64 * kMegabyte;
 
 /// Answers that are received may take this part of the memory of the VM.
@@ -352,6 +356,7 @@
     call.address = settings_.store_address;
     call.http = std::move(request.http);
     call.timeout = request.timeout;
+    call.max_body_bytes = kMaxStoreAnswerBytes;
     gateway_.Metrics().CountStoreCall();
     client_.Start(
         ++last_store_request_id_, std::move(call),
--- a/test/bambootack/net/faulty_answers_test.cc
+++ b/test/bambootack/net/faulty_answers_test.cc
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
@@ -115,6 +117,54 @@
   }
 }
 
+// Guards against chunks whose number costs all other calls their time, within a
+// limit for the body that ordinary downloads need.
+BOOST_AUTO_TEST_CASE(chunks_of_one_byte_are_cut_off_early) {
+  net::HttpClient client(net::AnswerLimits{.body_bytes = 8'000'000,
+                                           .total_body_bytes = 8'000'000});
+  std::atomic<std::size_t> written = 0;
+  RawServer server([&](RawServer::Socket& socket, int) {
+    server.ReadRequest(socket);
+    std::string block = kOk + "Transfer-Encoding: chunked\r\n\r\n";
+    std::error_code ec;
+    while (!ec && written < 2 * kSocketBufferBytes) {
+      while (block.size() < 64'000) {
+        block += "1\r\nb\r\n";
+      }
+      written += asio::write(socket, asio::buffer(block), ec);
+      block.clear();
+    }
+  });
+  BOOST_TEST(
+      (Start(client, 1, CallOf(server)).get().end == AttemptEnd::kInvalid));
+  BOOST_TEST(written < kSocketBufferBytes);
+}
+
+// Guards against a limit on chunks that cuts off servers which send many small
+// ones.
+BOOST_AUTO_TEST_CASE(answers_in_small_chunks_arrive) {
+  struct ChunksCase {
+    std::size_t bytes;
+    std::size_t count;
+  };
+  for (const ChunksCase& it : {ChunksCase{1, 10'000}, ChunksCase{64, 20'000}}) {
+    net::HttpClient client(net::AnswerLimits{.body_bytes = 8'000'000,
+                                             .total_body_bytes = 8'000'000});
+    RawServer server([&](RawServer::Socket& socket, int) {
+      server.ReadRequest(socket);
+      std::string answer = kOk + "Transfer-Encoding: chunked\r\n\r\n";
+      for (std::size_t i = 0; i < it.count; ++i) {
+        answer +=
+            fmt::format("{:x}\r\n{}\r\n", it.bytes, std::string(it.bytes, 'b'));
+      }
+      RawServer::Write(socket, answer + "0\r\n\r\n");
+    });
+    const auto result = Start(client, 1, CallOf(server)).get();
+    BOOST_TEST((result.end == AttemptEnd::kAnswered));
+    BOOST_TEST(result.answer.body.size() == it.bytes * it.count);
+  }
+}
+
 // Guards against many bodies that are within their limit each and together
 // fill the memory of the VM.
 BOOST_AUTO_TEST_CASE(bodies_in_progress_share_a_limit) {
--- a/test/clients/clients_test.cc
+++ b/test/clients/clients_test.cc
@@ -2,13 +2,14 @@
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
-#include <cstdlib>
 #include <string>
 #include <string_view>
 
+#include "clients/check_system.h"
 #include "clients/crowd.h"
 #include "clients/system.h"
 
+using clients::CheckSystem;
 using clients::Crowd;
 using clients::RequestHead;
 using clients::System;
@@ -23,24 +24,6 @@
 constexpr std::size_t kStopping = 36;
 constexpr std::size_t kFinishing = 4;
 
-/// Sanitizers multiply the memory of a process; its bound has no meaning there.
-bool IsMemoryMeasured() { return std::getenv("CLIENTS_SANITIZED") == nullptr; }
-
-/// Checks what must hold after any crowd.
-void CheckSystem(System& system, const SystemLimits& limits) {
-  BOOST_TEST(system.IsRunning());
-  BOOST_TEST(system.IsServed(64));
-  BOOST_TEST(system.IsRunning());
-  BOOST_TEST_MESSAGE("peak " << system.PeakMb() << " MB, bound "
-                             << limits.memory_mb << "; descriptors "
-                             << system.Descriptors() << ", bound "
-                             << limits.descriptors);
-  if (IsMemoryMeasured()) {
-    BOOST_TEST(system.PeakMb() <= static_cast<double>(limits.memory_mb));
-  }
-  BOOST_TEST(system.Descriptors() <= limits.descriptors);
-}
-
 std::string LengthField(std::size_t bytes) {
   return fmt::format("Content-Length: {}", bytes);
 }
--- a/test/clients/system.cc
+++ b/test/clients/system.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <iterator>
 #include <stdexcept>
 
@@ -44,7 +45,8 @@
     : network_(NetworkOfProcess()),
       folder_(std::filesystem::temp_directory_path() /
               fmt::format("bambootack-clients-{}", getpid())),
-      store_(io_, network_ + ".1:9100", 1),
+      store_io_(std::in_place),
+      store_(std::in_place, *store_io_, network_ + ".1:9100", 1),
       backend_({.address = network_ + ".3:9106",
                 .max_body_bytes = kBackendBodyBytes,
                 .context = &io_},
@@ -65,10 +67,12 @@
   std::filesystem::create_directories(folder_);
   PutState(limits);
   WriteSettings(limits);
-  thread_ = std::thread([this] {
-    const auto guard = asio::make_work_guard(io_);
-    io_.run();
-  });
+  const auto run = [](asio::io_context& io) {
+    const auto guard = asio::make_work_guard(io);
+    io.run();
+  };
+  thread_ = std::thread(run, std::ref(io_));
+  store_thread_ = std::thread(run, std::ref(*store_io_));
   process_ = std::make_unique<bench::Process>(
       std::vector<std::string>{Program(), "--settings",
                                (folder_ / "vm.toml").string()},
@@ -80,6 +84,7 @@
 
 System::~System() {
   process_.reset();
+  StopStore();
   io_.stop();
   thread_.join();
   std::error_code ignored;
@@ -90,21 +95,45 @@
 
 std::string System::PeerAddress() const { return network_ + ".2:9103"; }
 
+std::string System::RogueAddress() const { return network_ + ".4:9106"; }
+
+void System::ReplaceStore(const RogueAnswer& answer) {
+  StopStore();
+  store_.reset();
+  store_io_.reset();  // Closes the listening socket.
+  rogue_store_.emplace(network_ + ".1:9100", answer);
+}
+
+void System::StopStore() {
+  if (store_io_) {
+    store_io_->stop();
+  }
+  if (store_thread_.joinable()) {
+    store_thread_.join();
+  }
+}
+
+void System::PutServer(std::string_view id, std::string_view service,
+                       const std::string& address) {
+  store_->Put("keyed.servers", id,
+              fmt::format(R"({{"service":"{}","address":"{}","zone":"west",)"
+                          R"("version":"v1","slots":1000,"state":"ready",)"
+                          R"("warmupLeftMs":0,"seq":1,"born":1700000000000}})",
+                          service, address));
+}
+
 void System::PutState(const SystemLimits& limits) {
-  store_.Put(
-      "keyed.servers", kServer,
-      fmt::format(R"({{"service":"desk","address":"{}.3:9106","zone":"west",)"
-                  R"("version":"v1","slots":1000,"state":"ready",)"
-                  R"("warmupLeftMs":0,"seq":1,"born":1700000000000}})",
-                  network_));
-  store_.Put(
+  PutServer(kServer, "desk", network_ + ".3:9106");
+  PutServer("i-2", "rogue", RogueAddress());
+  store_->Put(
       "keyed.op", "config",
       fmt::format(
           R"({{"version":"r1","routes":{{"columns":["name","host",)"
           R"("pathPrefix","routeType","timeoutMs","targetLatencyMs",)"
           R"("priority","service","maxAttempts"],"rows":[["all","a.example",)"
-          R"("/","safe",20000,10000,0,"desk",2]]}},)"
-          R"("services":{{"columns":["name"],"rows":[["desk"]]}},)"
+          R"("/","safe",20000,10000,0,"desk",2],["rogue","a.example",)"
+          R"("/rogue/","safe",20000,10000,0,"rogue",2]]}},)"
+          R"("services":{{"columns":["name"],"rows":[["desk"],["rogue"]]}},)"
           R"("limits":{{"maxHeaderBytes":16384,"maxBodyBytes":{},)"
           R"("headerTimeoutMs":{},"idleTimeoutMs":{}}}}})",
           limits.body_bytes, limits.header_timeout_ms, limits.idle_timeout_ms));
--- a/test/clients/system.h
+++ b/test/clients/system.h
@@ -7,10 +7,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 
 #include "bambootack/net/http_server.h"
 #include "bench/scenario/process.h"
+#include "clients/rogue_server.h"
 #include "standin/platform/store.h"
 
 namespace clients {
@@ -40,6 +42,12 @@
   /// @brief Address for messages between VMs.
   [[nodiscard]] std::string PeerAddress() const;
 
+  /// @brief Address at which the faulty server of "/rogue/" is expected.
+  [[nodiscard]] std::string RogueAddress() const;
+
+  /// @brief Replaces the store by a faulty server.
+  void ReplaceStore(const RogueAnswer& answer);
+
   /// @brief Whether the process runs.
   [[nodiscard]] bool IsRunning() { return process_->IsRunning(); }
 
@@ -62,15 +70,21 @@
   [[nodiscard]] std::optional<int> WaitForEnd();
 
  private:
+  void StopStore();
   void PutState(const SystemLimits& limits);
+  void PutServer(std::string_view id, std::string_view service,
+                 const std::string& address);
   void WriteSettings(const SystemLimits& limits);
 
   std::string network_;
   std::filesystem::path folder_;
   asio::io_context io_;
-  standin::Store store_;
+  std::optional<asio::io_context> store_io_;
+  std::optional<standin::Store> store_;
+  std::optional<RogueServer> rogue_store_;
   bambootack::net::HttpServer backend_;
   std::thread thread_;
+  std::thread store_thread_;
   std::unique_ptr<bench::Process> process_;
 };
 
