--- a/test/bambootack/net/peer_transport_test.cc
+++ b/test/bambootack/net/peer_transport_test.cc
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "bambootack/wire/sealed_frame.h"
 
@@ -143,4 +144,31 @@
   }
 }
 
+// Guards against a VM whose messages are lost because others have announced
+// frames and stopped within them.
+BOOST_AUTO_TEST_CASE(messages_arrive_beside_unfinished_frames) {
+  Vm a(1, kKeyA);
+  Vm b(2, kKeyA);
+  const std::string length("\0\0\x13\0", 4);
+  const std::string part(1'000'000, 'x');
+  asio::io_context io;
+  std::vector<tcp::socket> sockets;
+  for (int i = 0; i < 30; ++i) {
+    tcp::socket& socket = sockets.emplace_back(io);
+    socket.connect({asio::ip::make_address("127.0.0.1"), b.Transport().Port()});
+    std::error_code ignored;
+    asio::write(socket, asio::buffer(length + part), ignored);
+  }
+  a.Connect(2, b.Transport().Port());
+  const std::string message(1'200'000, 'm');
+  a.Transport().Send(core::VmId{2}, message);
+  BOOST_TEST((b.message.get_future().get() == message));
+  // The first unfinished frames have given way.
+  std::string received;
+  std::error_code ec;
+  asio::read(sockets.front(), asio::dynamic_buffer(received), ec);
+  BOOST_TEST((ec == asio::error::eof || ec == asio::error::connection_reset),
+             ec.message());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/clients/servers_test.cc
+++ b/test/clients/servers_test.cc
@@ -26,6 +26,9 @@
 /// Ordinary requests beside the faulty ones, about one in a second.
 constexpr int kTries = 6;
 
+/// Connections of a faulty VM.
+constexpr std::size_t kConnections = 300;
+
 const std::string kOk = "HTTP/1.1 200 OK\r\n";
 const std::string kChunked = kOk + "Transfer-Encoding: chunked\r\n\r\n";
 
@@ -58,6 +61,20 @@
   CheckSystem(system, limits);
 }
 
+/// Lets a faulty VM send to the port for peers while callers are served.
+void CheckBesidePeer(const clients::Script& script) {
+  const SystemLimits limits;
+  System system(limits);
+  Crowd crowd(system.PeerAddress());
+  crowd.Add(kConnections, script);
+  std::thread peer([&] { crowd.Send(); });
+  for (int i = 0; i < kTries; ++i) {
+    BOOST_TEST(system.IsServed(64, 1));
+  }
+  peer.join();
+  CheckSystem(system, limits);
+}
+
 }  // namespace
 
 // Bytes without end from all that a VM reads from. The requests of other
@@ -135,4 +152,19 @@
   CheckBesideStore({kChunked, "1\r\nb\r\n"});
 }
 
+// Guards against the length of a frame that reserves memory, and against frames
+// that are never completed.
+BOOST_AUTO_TEST_CASE(peer_announces_large_frames) {
+  CheckBesidePeer({std::string("\0\0\x13\0", 4), "x", 0, "", 1, true});
+}
+
+BOOST_AUTO_TEST_CASE(peer_stops_within_large_frames) {
+  CheckBesidePeer(
+      {std::string("\0\0\x13\0", 4), "x", kMegabyte, "", 65536, true});
+}
+
+BOOST_AUTO_TEST_CASE(peer_sends_bytes_without_end) {
+  CheckBesidePeer({"", "\x01", 8 * kMegabyte, "", 65536, true});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
