Peer transport: incoming connections have files of their own

IncomingConnections holds what the transport accepts; the form of frames, which both directions share, is in peer_frame.h. Behaviour is unchanged.

--- a/src/bambootack/net/peer_transport.cc
+++ b/src/bambootack/net/peer_transport.cc
@@ -3,13 +3,11 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <algorithm>
 #include <array>
 #include <asio.hpp>
 #include <chrono>
 #include <cstdint>
 #include <deque>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,7 +15,8 @@
 #include <utility>
 
 #include "bambootack/net/address.h"
-#include "bambootack/wire/codec.h"
+#include "bambootack/net/incoming_connections.h"
+#include "bambootack/net/peer_frame.h"
 #include "bambootack/wire/sealed_frame.h"
 
 namespace bambootack::net {
@@ -25,8 +24,9 @@
 
 using asio::ip::tcp;
 using asio::ip::udp;
+using detail::kLengthBytes;
+using detail::WithLength;
 
-constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kMaxQueuedBytes = 32 * 1024 * 1024;
 constexpr std::size_t kMaxDatagramBytes = 2048;
 
@@ -48,20 +48,6 @@
 
 /// For the connection and the hello of the accepting side.
 constexpr auto kConnectTimeout = std::chrono::milliseconds(500);
-constexpr std::size_t kMaxFrameBytes =
-    wire::kMaxMessageBytes + wire::kSealOverheadBytes;
-
-/// Frames that are being received, from all VMs, and the pieces in which their
-/// memory grows. A frame shows only at its end whether a VM of the fleet sent
-/// it.
-constexpr std::size_t kMaxIncomingBytes = 8 * 1024 * 1024;
-constexpr std::size_t kFramePieceBytes = 64 * 1024;
-
-/// A frame of the largest size takes 1 s on the slowest links.
-constexpr auto kMaxFrameTime = std::chrono::seconds(10);
-
-/// A failure domain of the largest fleets has 700 VMs.
-constexpr std::size_t kMaxIncomingConnections = 1024;
 
 tcp::endpoint EndpointOf(const std::string& address) {
   const Endpoint endpoint = SplitAddress(address);
@@ -81,170 +67,6 @@
   static_cast<void>(set);  // Without it, TCP's own timeout of minutes applies.
 }
 
-std::string WithLength(std::string frame) {
-  const auto n = static_cast<std::uint32_t>(frame.size());
-  std::string buf(kLengthBytes, '\0');
-  for (std::size_t i = 0; i < kLengthBytes; ++i) {
-    buf[i] = static_cast<char>(n >> (8 * i));
-  }
-  return buf + frame;
-}
-
-std::uint32_t LengthOf(const std::array<unsigned char, kLengthBytes>& buf) {
-  std::uint32_t n = 0;
-  for (std::size_t i = kLengthBytes; i-- > 0;) {
-    n = (n << 8) | buf[i];
-  }
-  return n;
-}
-
-class Incoming;
-
-/// Accepted connections and the memory of the frames that they receive. Those
-/// without an accepted frame, and the frames that began first, give way if
-/// there are too many.
-struct IncomingConnections {
-  std::list<Incoming*> unproven;   ///< Without an accepted frame, oldest first.
-  std::list<Incoming*> proven;     ///< By their last frame, oldest first.
-  std::list<Incoming*> receiving;  ///< In a frame, by its begin.
-  std::size_t frame_bytes = 0;     ///< Of all frames that are received.
-};
-
-/// Reads frames from an accepted connection until it closes.
-class Incoming : public std::enable_shared_from_this<Incoming> {
- public:
-  Incoming(tcp::socket socket, const PeerCallbacks& callbacks,
-           std::shared_ptr<IncomingConnections> connections)
-      : socket_(std::move(socket)),
-        timer_(socket_.get_executor()),
-        callbacks_(callbacks),
-        connections_(std::move(connections)),
-        hello_(WithLength(callbacks.hello(core::kNoVm))) {
-    position_ =
-        connections_->unproven.insert(connections_->unproven.end(), this);
-  }
-
-  ~Incoming() {
-    EndFrame();
-    (proven_ ? connections_->proven : connections_->unproven).erase(position_);
-  }
-  Incoming(const Incoming&) = delete;
-  Incoming& operator=(const Incoming&) = delete;
-
-  void Start() {
-    asio::async_write(
-        socket_, asio::buffer(hello_),
-        [self = shared_from_this()](std::error_code, std::size_t) {});
-    LimitFrame();
-    ReadLength();
-  }
-
-  void Close() {
-    std::error_code ignored;
-    socket_.close(ignored);
-    timer_.cancel();
-  }
-
- private:
-  /// Closes the connection unless a frame is complete in time.
-  void LimitFrame() {
-    timer_.expires_after(kMaxFrameTime);
-    timer_.async_wait([weak = weak_from_this()](std::error_code ec) {
-      const auto self = weak.lock();
-      if (!ec && self) {
-        self->Close();
-      }
-    });
-  }
-
-  void ReadLength() {
-    asio::async_read(
-        socket_, asio::buffer(length_),
-        [self = shared_from_this()](std::error_code ec, std::size_t) {
-          if (!ec) {
-            self->BeginFrame(LengthOf(self->length_));
-          }
-        });
-  }
-
-  void BeginFrame(std::uint32_t n) {
-    if (n == 0 || n > kMaxFrameBytes) {
-      return Close();
-    }
-    frame_left_ = n;
-    receiving_ =
-        connections_->receiving.insert(connections_->receiving.end(), this);
-    if (proven_) {
-      LimitFrame();
-    }
-    ReadPiece();
-  }
-
-  /// Reads the next piece of a frame. The memory of a frame follows what has
-  /// been received, whatever length was announced.
-  void ReadPiece() {
-    const std::size_t n = std::min(frame_left_, kFramePieceBytes);
-    const std::size_t offset = frame_.size();
-    frame_left_ -= n;
-    counted_bytes_ += n;
-    connections_->frame_bytes += n;
-    while (connections_->frame_bytes > kMaxIncomingBytes &&
-           connections_->receiving.front() != this) {
-      connections_->receiving.front()->Evict();
-    }
-    frame_.resize(offset + n);
-    asio::async_read(
-        socket_, asio::buffer(frame_.data() + offset, n),
-        [self = shared_from_this()](std::error_code ec, std::size_t) {
-          if (!ec && self->receiving_) {
-            self->frame_left_ > 0 ? self->ReadPiece() : self->AcceptFrame();
-          }
-        });
-  }
-
-  void AcceptFrame() {
-    std::string frame = std::move(frame_);
-    EndFrame();
-    timer_.cancel();
-    if (!callbacks_.on_frame(std::move(frame))) {
-      return Close();
-    }
-    (proven_ ? connections_->proven : connections_->unproven).erase(position_);
-    proven_ = true;
-    position_ = connections_->proven.insert(connections_->proven.end(), this);
-    ReadLength();
-  }
-
-  /// Leaves the memory of its frame to other connections.
-  void Evict() {
-    Close();
-    EndFrame();
-  }
-
-  void EndFrame() {
-    if (receiving_) {
-      connections_->receiving.erase(*receiving_);
-      receiving_.reset();
-      connections_->frame_bytes -= std::exchange(counted_bytes_, 0);
-    }
-    frame_ = {};
-  }
-
-  tcp::socket socket_;
-  asio::steady_timer timer_;
-  const PeerCallbacks& callbacks_;
-  std::shared_ptr<IncomingConnections> connections_;
-  std::list<Incoming*>::iterator position_;
-  bool proven_ = false;  ///< A frame has been accepted.
-  /// Set while a frame is received.
-  std::optional<std::list<Incoming*>::iterator> receiving_;
-  std::string hello_;
-  std::array<unsigned char, kLengthBytes> length_{};
-  std::string frame_;
-  std::size_t frame_left_ = 0;     ///< Bytes that are not being read yet.
-  std::size_t counted_bytes_ = 0;  ///< Part of the account's `frame_bytes`.
-};
-
 /// Sends messages to one VM.
 class Outgoing : public std::enable_shared_from_this<Outgoing> {
  public:
@@ -511,23 +333,12 @@
     acceptor_.async_accept([this](std::error_code ec, tcp::socket socket) {
       if (!ec) {
         SetOptions(socket);
-        std::make_shared<Incoming>(std::move(socket), callbacks_, incoming_)
-            ->Start();
-        LimitConnections();
+        incoming_.Add(std::move(socket));
       }
       AcceptConnection();
     });
   }
 
-  void LimitConnections() {
-    auto& unproven = incoming_->unproven;
-    auto& proven = incoming_->proven;
-    if (unproven.size() + proven.size() > kMaxIncomingConnections) {
-      // The newest connection is unproven.
-      (unproven.size() > 1 ? unproven : proven).front()->Close();
-    }
-  }
-
   void Deliver(core::VmId vm, std::string message) {
     const auto address = addresses_.find(vm);
     if (address == addresses_.end()) {
@@ -552,8 +363,7 @@
   }
 
   PeerCallbacks callbacks_;
-  std::shared_ptr<IncomingConnections> incoming_ =
-      std::make_shared<IncomingConnections>();
+  IncomingConnections incoming_{callbacks_};
   asio::io_context io_;
   tcp::acceptor acceptor_;
   udp::socket datagrams_;
