--- a/test/clients/rogue_server.cc
+++ b/test/clients/rogue_server.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <memory>
+#include <string_view>
 #include <utility>
 
 namespace clients {
@@ -49,13 +50,13 @@
   }
 
   void SendRepeated() {
-    const std::size_t n =
-        std::min(server_.block_.size(), server_.answer_.limit - sent_);
+    const std::string_view block = server_.block_;
+    const std::size_t n = std::min(block.size(), server_.answer_.limit - sent_);
     if (n == 0) {
       return WaitForClose();
     }
     sent_ += n;
-    Send(std::string_view(server_.block_).substr(0, n));
+    Send(block.substr(0, n));
   }
 
   void WaitForClose() {
