Poison requests: servers that get other requests are not connected to

A later attempt that reaches a server shows as much as a connection. The dispatcher connects only if none has for 1.2 s, or if one could not connect; most servers are probed by a request 0.8 s after a failure.

--- a/src/bambootack/gateway/connection_checks.cc
+++ b/src/bambootack/gateway/connection_checks.cc
@@ -21,26 +21,34 @@
 }  // namespace
 
 void ConnectionChecks::Request(const std::string& server,
-                               const std::string& address, core::Time now) {
+                               const std::string& address, core::Time due) {
   const auto [found, added] = series_.try_emplace(server);
   Series& it = found->second;
   it.address = address;
   it.failures = 0;
+  const core::Time earliest = std::max(due, it.began + kVerdictInterval);
   switch (it.state) {
     case State::kDue:
-      it.due = added ? now : it.due;
+      it.due = added ? due : std::min(it.due, earliest);
       break;
     case State::kInFlight:
-      it.requested_again = true;
+      it.requested_again = std::min(it.requested_again.value_or(due), due);
       break;
     case State::kDone:
       it.state = State::kDue;
-      it.due = std::max(now, it.began + kVerdictInterval);
+      it.due = earliest;
       it.refusals = 0;
       break;
   }
 }
 
+void ConnectionChecks::Cancel(std::string_view server) {
+  const auto found = series_.find(server);
+  if (found != series_.end() && found->second.state == State::kDue) {
+    found->second.state = State::kDone;
+  }
+}
+
 std::vector<ConnectionCheck> ConnectionChecks::TakeDue(core::Time now) {
   std::erase_if(series_, [&](const auto& it) {
     return it.second.state == State::kDone &&
@@ -80,8 +88,9 @@
   const bool down = it.refusals >= kRefusalsWhenDown;
   const bool done = listening || down || it.failures >= kMaxFailures;
   it.state = done && !it.requested_again ? State::kDone : State::kDue;
-  it.due = std::max(now, it.began + (done ? kVerdictInterval : kCheckInterval));
-  it.requested_again = false;
+  it.due = std::max(it.requested_again.value_or(now),
+                    it.began + (done ? kVerdictInterval : kCheckInterval));
+  it.requested_again.reset();
   return listening || down ? std::optional(Verdict{listening, it.began})
                            : std::nullopt;
 }
--- a/src/bambootack/gateway/connection_checks.h
+++ b/src/bambootack/gateway/connection_checks.h
@@ -35,10 +35,14 @@
 /// apart.
 class ConnectionChecks {
  public:
-  /// @brief Requests a check of a server from now on. Servers are connected to
-  /// at a limited rate, however often this is called.
+  /// @brief Requests a check of a server. Servers are connected to at a limited
+  /// rate, however often this is called.
+  /// @param due Earliest time. A check that is due earlier stays so.
   void Request(const std::string& server, const std::string& address,
-               core::Time now);
+               core::Time due);
+
+  /// @brief Drops the check of a server unless it is in flight.
+  void Cancel(std::string_view server);
 
   /// @brief Takes the checks that are due. Report each by `RecordResult`.
   [[nodiscard]] std::vector<ConnectionCheck> TakeDue(core::Time now);
@@ -67,8 +71,9 @@
     core::Time due{};
     core::Time began{};  ///< Start of the last check.
     int failures = 0;
-    int refusals = 0;              ///< In a row.
-    bool requested_again = false;  ///< Since `began`.
+    int refusals = 0;  ///< In a row.
+    /// Due time of a request since `began`.
+    std::optional<core::Time> requested_again;
   };
 
   std::map<std::string, Series, std::less<>> series_;
--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -459,10 +459,16 @@
                                     core::Time now) {
   switch (attempt.outcome) {
     case AttemptOutcome::kServed:
+      poison_detector_.RecordContact(attempt.server, attempt.start);
       poison_detector_.RecordServed(attempt.fingerprint);
       break;
+    case AttemptOutcome::kServerError:
+    case AttemptOutcome::kNotExecuted:
+      poison_detector_.RecordContact(attempt.server, attempt.start);
+      break;
     case AttemptOutcome::kLost:
     case AttemptOutcome::kInvalid:  // It may have crashed within the answer.
+      poison_detector_.RecordContact(attempt.server, attempt.start);
       poison_detector_.RecordLostConnection(attempt.fingerprint, attempt.server,
                                             registry_, now);
       break;
@@ -472,8 +478,6 @@
     case AttemptOutcome::kWrongServer:
       poison_detector_.RecordServerReplaced(attempt.server, now);
       break;
-    case AttemptOutcome::kServerError:
-    case AttemptOutcome::kNotExecuted:
     case AttemptOutcome::kTimedOut:
     case AttemptOutcome::kCancelled:
     case AttemptOutcome::kUnused:
--- a/src/bambootack/gateway/poison_request_detector.cc
+++ b/src/bambootack/gateway/poison_request_detector.cc
@@ -20,6 +20,10 @@
 /// one may end for other reasons later.
 constexpr core::Duration kMaxTimeToEnd = std::chrono::milliseconds(2500);
 
+/// Time without another request after which a server is connected to. Most are
+/// probed by a request 0.8 s after a failure, which costs nothing besides.
+constexpr core::Duration kCheckDelay = std::chrono::milliseconds(1200);
+
 /// Maximum number of lost connections kept, which bounds the memory during a
 /// flood of connection resets.
 constexpr std::size_t kMaxLostConnections = 1024;
@@ -64,7 +68,19 @@
       {{fingerprint, record.id, record.started, record.service},
        record.address,
        now});
-  checks_.Request(record.id, record.address, now);
+  checks_.Request(record.id, record.address, now + kCheckDelay);
+}
+
+void PoisonRequestDetector::RecordContact(std::string_view server,
+                                          core::Time start) {
+  MarkListening(server, start);
+  const bool open = std::any_of(
+      lost_connections_.begin(), lost_connections_.end(), [&](const auto& it) {
+        return it.crash.server == server && !it.listening;
+      });
+  if (!open) {
+    checks_.Cancel(server);
+  }
 }
 
 void PoisonRequestDetector::RecordServerDown(std::string_view server,
@@ -102,10 +118,16 @@
     RecordServerDown(server, now);
     return;
   }
-  // It may have restarted before the check, which its entry will tell.
+  MarkListening(server, verdict->began);
+}
+
+/// Records that a process listened at the address of a server at a time. It may
+/// have restarted before, which its entry will tell.
+void PoisonRequestDetector::MarkListening(std::string_view server,
+                                          core::Time time) {
   for (LostConnection& it : lost_connections_) {
-    it.listening = it.listening ||
-                   (it.crash.server == server && it.lost_at <= verdict->began);
+    it.listening =
+        it.listening || (it.crash.server == server && it.lost_at <= time);
   }
 }
 
--- a/src/bambootack/gateway/poison_request_detector.h
+++ b/src/bambootack/gateway/poison_request_detector.h
@@ -32,8 +32,8 @@
 /// Faulty servers reset the connections of any request, so a lost connection
 /// counts as a crash only if its server is found to have ended: it refuses
 /// connections, or another start of a server has its address or its id. The
-/// detector asks for connections to find this out, since there may be no other
-/// request that is sent to the server.
+/// detector asks for a connection to find this out if no other request is sent
+/// to the server.
 class PoisonRequestDetector {
  public:
   /// @brief Records that a server broke off the answer to a request, or gave
@@ -46,6 +46,11 @@
   /// connections are crashes.
   void RecordServerDown(std::string_view server, core::Time now);
 
+  /// @brief Records that a server accepted the connection of an attempt, which
+  /// shows as much as a check.
+  /// @param start Start of the attempt.
+  void RecordContact(std::string_view server, core::Time start);
+
   /// @brief Records that a request could not be sent. A server that has lost
   /// another request shortly before is checked: a sound one may also reset a
   /// connection before it is established, and packets may be lost.
@@ -105,6 +110,7 @@
 
   [[nodiscard]] static bool HasEnded(const LostConnection& lost,
                                      const ServerRegistry& registry);
+  void MarkListening(std::string_view server, core::Time time);
   void ConfirmCrash(const LostConnection& lost, core::Time now);
   template <typename Predicate>
   void ConfirmCrashesIf(core::Time now, Predicate has_crashed);
--- a/src/bambootack/gateway/server_pool.cc
+++ b/src/bambootack/gateway/server_pool.cc
@@ -92,7 +92,7 @@
   leases_.erase(found);
   leases_by_server_.erase({it.server, lease});
   leases_by_expiry_.erase({it.expires_at, lease});
-  finished_attempts_.push_back({it.fingerprint, it.server, outcome});
+  finished_attempts_.push_back({it.fingerprint, it.server, outcome, it.start});
   const auto state = servers_.find(it.server);
   if (state == servers_.end()) {
     return;
--- a/src/bambootack/gateway/server_pool.h
+++ b/src/bambootack/gateway/server_pool.h
@@ -93,6 +93,7 @@
   std::uint64_t fingerprint = 0;
   std::string server;
   AttemptOutcome outcome = AttemptOutcome::kServed;
+  core::Time start{};
 };
 
 /// @brief Slots and health of backend servers, derived from the outcomes of
