HTTP client: the trimming of field values is private; a comment is corrected

TrimBlanks has one caller, in its own file. The comment on framing claimed a cost for each chunk that no run has measured.

--- a/src/bambootack/net/field_syntax.cc
+++ b/src/bambootack/net/field_syntax.cc
@@ -11,6 +11,14 @@
 constexpr std::string_view kBlanks = " \t";
 constexpr std::string_view kLineEnd = "\r\n";
 
+/// Removes blanks and tabs at both ends.
+std::string_view TrimBlanks(std::string_view text) noexcept {
+  const std::size_t first = text.find_first_not_of(kBlanks);
+  return first == std::string_view::npos
+             ? std::string_view()
+             : text.substr(first, text.find_last_not_of(kBlanks) - first + 1);
+}
+
 }  // namespace
 
 bool IsToken(std::string_view text) noexcept {
@@ -29,13 +37,6 @@
   });
 }
 
-std::string_view TrimBlanks(std::string_view text) noexcept {
-  const std::size_t first = text.find_first_not_of(kBlanks);
-  return first == std::string_view::npos
-             ? std::string_view()
-             : text.substr(first, text.find_last_not_of(kBlanks) - first + 1);
-}
-
 std::optional<std::string_view> WithoutLineEnd(std::string_view line) noexcept {
   if (!line.ends_with(kLineEnd)) {
     return std::nullopt;
--- a/src/bambootack/net/field_syntax.h
+++ b/src/bambootack/net/field_syntax.h
@@ -18,9 +18,6 @@
 /// values of fields have none (RFC 9110, 5.5).
 [[nodiscard]] bool HasControlCharacter(std::string_view text) noexcept;
 
-/// @brief Removes blanks and tabs at both ends.
-[[nodiscard]] std::string_view TrimBlanks(std::string_view text) noexcept;
-
 /// @brief Removes the CR LF at the end of a line.
 /// @return The line without it, or nothing if the line ends otherwise.
 [[nodiscard]] std::optional<std::string_view> WithoutLineEnd(
--- a/src/bambootack/net/http_client.cc
+++ b/src/bambootack/net/http_client.cc
@@ -48,8 +48,8 @@
 constexpr std::size_t kBytesPerLine = 256;
 
 /// Bytes of chunk sizes, extensions and trailers: a part of the body, and as
-/// much as a body in some 10,000 chunks of one byte needs. Each chunk costs the
-/// same time as the head of an answer, however small it is.
+/// much as a body in some 10,000 chunks of one byte needs. The time that a body
+/// takes grows with the number of its chunks.
 constexpr std::size_t kBodyBytesPerFramingByte = 8;
 constexpr std::size_t kMaxFramingBytes = 64UL * 1024;
 
