Server limits: VMs read, log and count what servers name

Nothing showed whether a VM had read the limit that a server names in its answers, so that the logs of the incident could not tell a field that nobody reads from a limit that each VM keeps for itself. The field is read into the notice of a server, event 728 shows each change with the VM that told it, and two metrics count answers and servers. Nothing acts on it yet: the lowest of several values counts, malformed ones are logged and ignored.

--- a/src/bambootack/gateway/gateway.cc
+++ b/src/bambootack/gateway/gateway.cc
@@ -506,6 +506,7 @@
   GatewayGauges gauges;
   gauges.in_flight = InFlight();
   gauges.servers = registry_.Servers().size();
+  gauges.limited_servers = pool_.LimitedServers();
   gauges.members = peers_.FleetSize();
   gauges.config_version = routes_->Version();
   gauges.state_age = sync_.StateAge(now).value_or(core::Duration{});
--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -324,7 +324,10 @@
                                       core::Time now) const;
 
   void ApplyServerNotice(const Request& request, const Attempt& attempt,
-                         const ServerNotice& notice, core::Time now);
+                         const ServerNotice& notice, AttemptOutcome outcome,
+                         core::Time now);
+  void RecordLimit(std::string_view server, const LimitReport& report,
+                   core::Time request_sent, core::Time stated, core::VmId from);
   [[nodiscard]] bool IsPaused(std::string_view server, core::Time now) const;
   [[nodiscard]] std::optional<core::Duration> ShortestPause(
       std::string_view service, core::Time now) const;
--- a/src/bambootack/gateway/gateway_attempts.cc
+++ b/src/bambootack/gateway/gateway_attempts.cc
@@ -409,7 +409,8 @@
   if (end == node::AttemptEnd::kAnswered &&
       outcome != AttemptOutcome::kInvalid) {
     ApplyServerNotice(request, finished,
-                      ReadServerNotice(options_.header_names, answer), now);
+                      ReadServerNotice(options_.header_names, answer), outcome,
+                      now);
   }
   metrics_.CountAttempt(outcome);
   Log(log::EventId::kSendEnded,
--- a/src/bambootack/gateway/gateway_notices.cc
+++ b/src/bambootack/gateway/gateway_notices.cc
@@ -6,7 +6,8 @@
 #include "bambootack/gateway/log_text.h"
 
 // What servers state about themselves in their answers: that they are leaving,
-// and that they want no requests from this VM for some time.
+// that they want no requests from this VM for some time, and how many requests
+// they take from all VMs.
 
 namespace bambootack::gateway {
 namespace {
@@ -19,7 +20,8 @@
 }  // namespace
 
 void Gateway::ApplyServerNotice(const Request& request, const Attempt& attempt,
-                                const ServerNotice& notice, core::Time now) {
+                                const ServerNotice& notice,
+                                AttemptOutcome outcome, core::Time now) {
   const std::string& server = attempt.slot.server;
   const auto registered = registry_.Servers().find(server);
   if (notice.leaving && registered != registry_.Servers().end()) {
@@ -35,6 +37,17 @@
       }
     }
   }
+  if (notice.malformed_limit) {
+    Log(log::EventId::kServerLimit,
+        fmt::format("server={} ignored={}", server,
+                    Truncate(*notice.malformed_limit)));
+  }
+  if (notice.limit) {
+    metrics_.CountServerLimit();
+  }
+  if (const auto report = LimitReportOf(notice, outcome)) {
+    RecordLimit(server, *report, attempt.started, now, options_.vm);
+  }
   if (notice.malformed_pause) {
     Log(log::EventId::kServerPaused,
         fmt::format("server={} ms=0 ignored={}", server,
@@ -52,6 +65,23 @@
   }
 }
 
+/// Records the limit of a server and logs its changes.
+/// @param from VM that read it in an answer.
+void Gateway::RecordLimit(std::string_view server, const LimitReport& report,
+                          core::Time request_sent, core::Time stated,
+                          core::VmId from) {
+  const auto before = pool_.RecordLimit(server, report, request_sent, stated);
+  if (!before) {
+    return;
+  }
+  const auto text = [](const LimitReport& it) {
+    return it.rate ? fmt::format("{:.3f}", *it.rate) : std::string("none");
+  };
+  Log(log::EventId::kServerLimit,
+      fmt::format("server={} rate={} before={} from={}", server, text(report),
+                  text(*before), static_cast<std::uint32_t>(from)));
+}
+
 void Gateway::Handle(core::VmId from, LeavingNotice& message, core::Time now) {
   if (!registry_.MarkLeaving(message.server, message.started)) {
     return;
--- a/src/bambootack/gateway/metrics.cc
+++ b/src/bambootack/gateway/metrics.cc
@@ -57,6 +57,9 @@
 constexpr MetricInfo kServerPauses{"bambootack_gateway_server_pauses_total",
                                    "counter",
                                    "Pauses that servers wanted from this VM."};
+constexpr MetricInfo kServerLimits{
+    "bambootack_gateway_server_limits_total", "counter",
+    "Answers in which a server named a limit on its requests."};
 constexpr MetricInfo kLatency{"bambootack_gateway_latency_seconds", "histogram",
                               "Time from a request to its answer."};
 constexpr MetricInfo kSlotWait{"bambootack_gateway_slot_wait_seconds",
@@ -68,6 +71,9 @@
                                "Requests in progress."};
 constexpr MetricInfo kServers{"bambootack_gateway_servers", "gauge",
                               "Registered backend servers."};
+constexpr MetricInfo kLimitedServers{"bambootack_gateway_limited_servers",
+                                     "gauge",
+                                     "Servers that limit their requests."};
 constexpr MetricInfo kMembers{"bambootack_gateway_members", "gauge",
                               "VMs known, with this one."};
 constexpr MetricInfo kConfigVersion{"bambootack_gateway_config_version",
@@ -82,12 +88,13 @@
                             "1 if this VM takes traffic."};
 
 constexpr std::array kCatalogue{
-    kAnswers,    kAttempts,    kHealthChanges,  kConnectionChecks,
-    kKeyChecks,  kTokens,      kTokenTimeouts,  kDispatcherTimeouts,
-    kStoreCalls, kPeerBytes,   kLeavingServers, kServerPauses,
-    kLatency,    kSlotWait,    kTimerDelay,     kInFlight,
-    kServers,    kMembers,     kConfigVersion,  kStateAge,
-    kKeyAge,     kQuotaShares, kReady};
+    kAnswers,       kAttempts,  kHealthChanges,  kConnectionChecks,
+    kKeyChecks,     kTokens,    kTokenTimeouts,  kDispatcherTimeouts,
+    kStoreCalls,    kPeerBytes, kLeavingServers, kServerPauses,
+    kServerLimits,  kLatency,   kSlotWait,       kTimerDelay,
+    kInFlight,      kServers,   kLimitedServers, kMembers,
+    kConfigVersion, kStateAge,  kKeyAge,         kQuotaShares,
+    kReady};
 
 }  // namespace
 
@@ -160,6 +167,7 @@
   metrics::WriteValue(out, kPeerBytes, peer_bytes_);
   metrics::WriteValue(out, kLeavingServers, leaving_servers_);
   metrics::WriteValue(out, kServerPauses, server_pauses_);
+  metrics::WriteValue(out, kServerLimits, server_limits_);
   metrics::WriteHead(out, kLatency);
   for (const auto& [priority, histogram] : latency_) {
     histogram.Write(out, kLatency.name,
@@ -171,6 +179,7 @@
   timer_delay_.Write(out, kTimerDelay.name, "");
   metrics::WriteValue(out, kInFlight, gauges.in_flight);
   metrics::WriteValue(out, kServers, gauges.servers);
+  metrics::WriteValue(out, kLimitedServers, gauges.limited_servers);
   metrics::WriteValue(out, kMembers, gauges.members);
   metrics::WriteValue(out, kConfigVersion, gauges.config_version);
   metrics::WriteValue(
--- a/src/bambootack/gateway/metrics.h
+++ b/src/bambootack/gateway/metrics.h
@@ -22,6 +22,7 @@
 struct GatewayGauges {
   std::size_t in_flight = 0;
   std::size_t servers = 0;
+  std::size_t limited_servers = 0;
   std::size_t members = 0;
   std::uint64_t config_version = 0;
   core::Duration state_age{};
@@ -71,6 +72,9 @@
   /// @brief Counts a pause that a server wants from this VM.
   void CountServerPause() noexcept { ++server_pauses_; }
 
+  /// @brief Counts an answer in which a server named a limit.
+  void CountServerLimit() noexcept { ++server_limits_; }
+
   /// @brief Counts the encoded size of a message to a peer.
   void CountPeerBytes(std::size_t bytes) noexcept { peer_bytes_ += bytes; }
 
@@ -109,6 +113,7 @@
   std::uint64_t peer_bytes_ = 0;
   std::uint64_t leaving_servers_ = 0;
   std::uint64_t server_pauses_ = 0;
+  std::uint64_t server_limits_ = 0;
   std::map<int, metrics::TimeHistogram> latency_;
   metrics::TimeHistogram slot_wait_;
   metrics::TimeHistogram timer_delay_;
--- a/src/bambootack/gateway/server_pool.cc
+++ b/src/bambootack/gateway/server_pool.cc
@@ -52,6 +52,9 @@
     state.failure_domain = it.record.failure_domain;
     state.slots = std::max(1, it.record.slots);
     state.draining = it.record.draining;
+    if (std::exchange(state.started, it.record.started) != it.record.started) {
+      state.limit = {};
+    }
     state.warmup_end = it.warmup_end;
   }
   DivideIntoGroups();
@@ -198,6 +201,26 @@
   health_changes_.push_back({state.id, to, cause});
 }
 
+std::optional<LimitReport> ServerPool::RecordLimit(std::string_view server,
+                                                   const LimitReport& report,
+                                                   core::Time request_sent,
+                                                   core::Time stated) {
+  const auto state = servers_.find(server);
+  if (state == servers_.end()) {
+    return std::nullopt;
+  }
+  StatedLimit& limit = state->second.limit;
+  const LimitReport before{limit.Rate()};
+  return limit.Record(report, request_sent, stated) ? std::optional(before)
+                                                    : std::nullopt;
+}
+
+std::size_t ServerPool::LimitedServers() const {
+  return static_cast<std::size_t>(std::count_if(
+      servers_.begin(), servers_.end(),
+      [](const auto& it) { return it.second.limit.Rate().has_value(); }));
+}
+
 void ServerPool::ExpireLeases(core::Time now) {
   while (!leases_by_expiry_.empty() &&
          leases_by_expiry_.begin()->first <= now) {
--- a/src/bambootack/gateway/server_pool.h
+++ b/src/bambootack/gateway/server_pool.h
@@ -17,6 +17,7 @@
 #include "bambootack/core/time.h"
 #include "bambootack/gateway/model.h"
 #include "bambootack/gateway/server_registry.h"
+#include "bambootack/gateway/stated_limit.h"
 
 namespace bambootack::gateway {
 
@@ -126,6 +127,18 @@
                      core::Duration duration, AttemptOutcome outcome,
                      core::Time now);
 
+  /// @brief Records what a server states about the rate of its requests.
+  /// @param request_sent When the request of its answer was sent.
+  /// @param stated When it answered.
+  /// @return The limit known before, if it has changed.
+  std::optional<LimitReport> RecordLimit(std::string_view server,
+                                         const LimitReport& report,
+                                         core::Time request_sent,
+                                         core::Time stated);
+
+  /// @brief Number of servers that limit the rate of their requests.
+  [[nodiscard]] std::size_t LimitedServers() const;
+
   /// @brief Releases leases whose holder has not reported in time.
   void ExpireLeases(core::Time now);
 
@@ -179,6 +192,8 @@
     /// VM that last failed to connect.
     core::VmId unreachable_from = core::kNoVm;
     core::Time unreachable_at{};
+    StatedLimit limit;
+    std::int64_t started = 0;  ///< A later start knows nothing of the limit.
   };
 
   struct Lease {
--- a/src/bambootack/gateway/server_protocol.cc
+++ b/src/bambootack/gateway/server_protocol.cc
@@ -2,10 +2,14 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/predicate.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
 #include <charconv>
 #include <cmath>
 #include <utility>
+#include <vector>
 
 namespace bambootack::gateway {
 namespace {
@@ -22,19 +26,48 @@
 /// Longer pauses are limited to this time.
 constexpr double kMaxPauseSeconds = 3600.0;
 
-/// Parses a number of seconds that is not negative. The fields of dates and
-/// other forms are rejected.
-std::optional<core::Duration> ParseSeconds(std::string_view text) {
-  double seconds = 0.0;
+/// Parses a finite decimal number that is not negative.
+std::optional<double> ParseDecimal(std::string_view text) {
+  double value = 0.0;
   const char* end = text.data() + text.size();
   const auto parsed =
-      std::from_chars(text.data(), end, seconds, std::chars_format::fixed);
-  if (parsed.ec != std::errc() || parsed.ptr != end ||
-      !std::isfinite(seconds) || seconds < 0.0) {
+      std::from_chars(text.data(), end, value, std::chars_format::fixed);
+  if (parsed.ec != std::errc() || parsed.ptr != end || !std::isfinite(value) ||
+      value < 0.0) {
     return std::nullopt;
   }
-  return std::chrono::duration_cast<core::Duration>(
-      std::chrono::duration<double>(std::min(seconds, kMaxPauseSeconds)));
+  return value;
+}
+
+/// Parses a number of seconds. Dates are rejected.
+std::optional<core::Duration> ParseSeconds(std::string_view text) {
+  const auto seconds = ParseDecimal(text);
+  return seconds ? std::optional(std::chrono::duration_cast<core::Duration>(
+                       std::chrono::duration<double>(
+                           std::min(*seconds, kMaxPauseSeconds))))
+                 : std::nullopt;
+}
+
+/// Reads the limit of a server. Each of several fields may be malformed, and
+/// may be a list.
+void ReadLimit(const HeaderNames& names, const core::Headers& headers,
+               ServerNotice& notice) {
+  for (const core::HeaderField& field : headers) {
+    if (!boost::algorithm::iequals(field.name, names.limit)) {
+      continue;
+    }
+    std::vector<std::string> values;
+    boost::algorithm::split(values, field.value,
+                            boost::algorithm::is_any_of(","));
+    for (std::string& it : values) {
+      boost::algorithm::trim(it);
+      if (const auto limit = ParseDecimal(it)) {
+        notice.limit = std::min(notice.limit.value_or(*limit), *limit);
+      } else {
+        notice.malformed_limit = field.value;
+      }
+    }
+  }
 }
 
 std::optional<std::int64_t> ParseNumber(std::string_view text) {
@@ -148,7 +181,17 @@
       notice.malformed_pause = std::string(*pause);
     }
   }
+  ReadLimit(names, answer.headers, notice);
   return notice;
 }
 
+std::optional<LimitReport> LimitReportOf(const ServerNotice& notice,
+                                         AttemptOutcome outcome) {
+  const bool executed = outcome == AttemptOutcome::kServed ||
+                        outcome == AttemptOutcome::kServerError;
+  return notice.limit || (executed && !notice.malformed_limit)
+             ? std::optional(LimitReport{notice.limit})
+             : std::nullopt;
+}
+
 }  // namespace bambootack::gateway
--- a/src/bambootack/gateway/server_protocol.h
+++ b/src/bambootack/gateway/server_protocol.h
@@ -24,6 +24,7 @@
   std::string leaving;          ///< "1" if the server is about to terminate.
   std::string retry_after;      ///< Seconds, with a 503 of a server.
   std::string customer;         ///< Name of the customer, for the server.
+  std::string limit;  ///< Requests/s that the server takes from all VMs.
 };
 
 /// @brief What a server states about itself in an answer.
@@ -33,6 +34,10 @@
   std::optional<core::Duration> pause;
   /// Text of a pause that is ignored because it is no number of seconds.
   std::optional<std::string> malformed_pause;
+  /// Requests per second that it takes from all VMs together.
+  std::optional<double> limit;
+  /// Text of a limit that is ignored because it is no such number.
+  std::optional<std::string> malformed_limit;
 };
 
 /// @brief Reads how long the caller will still wait.
@@ -68,10 +73,17 @@
     const HeaderNames& names, const core::Headers& headers);
 
 /// @brief Reads what a server states about itself. A pause is read from a 503
-/// only, and limited to an hour.
+/// only, and limited to an hour. The lowest of several limits holds.
 [[nodiscard]] ServerNotice ReadServerNotice(const HeaderNames& names,
                                             const core::HttpAnswer& answer);
 
+/// @brief What an answer states about the limit of its server.
+/// @param outcome Outcome of its attempt.
+/// @return Nothing if the answer cannot tell: a refusal without a limit may
+/// come from a part of the server that does not know it.
+[[nodiscard]] std::optional<LimitReport> LimitReportOf(
+    const ServerNotice& notice, AttemptOutcome outcome);
+
 /// @brief Whether callers infer from an HTTP status that the request has not
 /// been executed and will not be.
 [[nodiscard]] constexpr bool ImpliesNotExecuted(int status) noexcept {
--- a/src/bambootack/log/event.cc
+++ b/src/bambootack/log/event.cc
@@ -149,6 +149,10 @@
               "a VM connected to a server that had lost a request, to see "
               "whether it is up",
               LineLimit::kRequest},
+    EventInfo{EventId::kServerLimit, LogLevel::kInfo, "server-limit",
+              "a VM learned that a server limits its requests, or no longer "
+              "does",
+              LineLimit::kRequest},
 };
 
 }  // namespace
--- a/src/bambootack/log/event.h
+++ b/src/bambootack/log/event.h
@@ -69,6 +69,7 @@
   kQuotaExhausted = 725,
   kQuotaOwnerSilent = 726,
   kServerChecked = 727,
+  kServerLimit = 728,
 };
 
 /// @brief How often an event is written; see `LineLimiter`.
--- a/test/bambootack/gateway/gateway_fixture.h
+++ b/test/bambootack/gateway/gateway_fixture.h
@@ -32,9 +32,9 @@
     options.vm = vm;
     options.peer_address = "10.0.1.1:7000";
     options.failure_domain = "west";
-    options.header_names = {"Request-Id", "Time-Left-Ms", "Only-Server",
-                            "Signature",  "Not-Run",      "Load",
-                            "Leaving",    "Retry-After",  "Customer"};
+    options.header_names = {
+        "Request-Id", "Time-Left-Ms", "Only-Server", "Signature", "Not-Run",
+        "Load",       "Leaving",      "Retry-After", "Customer",  "Limit"};
     options.retry_ratio = 0.2;
     options.retry_burst = 80.0;
     return options;
--- a/test/bambootack/gateway/server_protocol_test.cc
+++ b/test/bambootack/gateway/server_protocol_test.cc
@@ -13,7 +13,7 @@
 
 gateway::HeaderNames Names() {
   return {"Request-Id", "Time-Left-Ms", "Only-Server", "Signature", "Not-Run",
-          "Load",       "Leaving",      "Retry-After", "Customer"};
+          "Load",       "Leaving",      "Retry-After", "Customer",  "Limit"};
 }
 
 }  // namespace
@@ -170,6 +170,67 @@
                   .leaving);
 }
 
+// Guards against a limit that is overlooked, or taken for another number, and
+// against text that is taken for a limit.
+BOOST_AUTO_TEST_CASE(limits_are_read_from_answers) {
+  struct Case {
+    std::vector<std::string> fields;
+    std::optional<double> limit;
+    bool malformed;
+  };
+  const std::vector<Case> cases{
+      {{}, std::nullopt, false},
+      {{"3"}, 3.0, false},
+      {{"2.7"}, 2.7, false},
+      {{"0.25"}, 0.25, false},
+      {{"0"}, 0.0, false},
+      {{"-1"}, std::nullopt, true},
+      {{"nan"}, std::nullopt, true},
+      {{"inf"}, std::nullopt, true},
+      {{""}, std::nullopt, true},
+      {{"1e3"}, std::nullopt, true},
+      {{"2 3"}, std::nullopt, true},
+      {{"5", "2"}, 2.0, false},
+      {{"nan", "2"}, 2.0, true},
+      {{"2", "-1"}, 2.0, true},
+      {{"5, 2"}, 2.0, false},
+      {{"5,"}, 5.0, true},
+      {{"-1", "nan"}, std::nullopt, true},
+  };
+  for (const Case& it : cases) {
+    core::HttpAnswer answer{200, {}, ""};
+    std::string text;
+    for (const std::string& field : it.fields) {
+      answer.headers.push_back({"limit", field});
+      text += "[" + field + "]";
+    }
+    const auto notice = gateway::ReadServerNotice(Names(), answer);
+    BOOST_TEST((notice.limit == it.limit), text);
+    BOOST_TEST(notice.malformed_limit.has_value() == it.malformed, text);
+  }
+}
+
+// Guards against a limit that ends because a refusal or a malformed field does
+// not name it.
+BOOST_AUTO_TEST_CASE(only_executed_requests_tell_that_there_is_no_limit) {
+  const gateway::ServerNotice none;
+  for (const AttemptOutcome it :
+       {AttemptOutcome::kServed, AttemptOutcome::kServerError}) {
+    BOOST_TEST((gateway::LimitReportOf(none, it) == gateway::LimitReport{}));
+  }
+  for (const AttemptOutcome it :
+       {AttemptOutcome::kNotExecuted, AttemptOutcome::kWrongServer}) {
+    BOOST_TEST(!gateway::LimitReportOf(none, it));
+  }
+  gateway::ServerNotice malformed;
+  malformed.malformed_limit = "nan";
+  BOOST_TEST(!gateway::LimitReportOf(malformed, AttemptOutcome::kServed));
+  gateway::ServerNotice named;
+  named.limit = 2.0;
+  BOOST_TEST((gateway::LimitReportOf(named, AttemptOutcome::kNotExecuted) ==
+              gateway::LimitReport{2.0}));
+}
+
 BOOST_AUTO_TEST_CASE(malformed_numbers_are_ignored) {
   for (const std::string text :
        {"", "x", "-1", "1.5", "99999999999999999999"}) {
