Server limits: refusals tell when limited servers admit the next request

When all servers of a group have used their limits, callers were told to come back after 0.2 s, all of them, whatever the limits. The dispatcher promises each refused request a later admission, at the rate that its servers take, and the caller is told to wait until then, within a third of its remaining time.

callers_return_at_the_rate_of_limited_servers fails without it (0.2 s for all); test_gateway passes.

--- a/src/bambootack/gateway/codec.cc
+++ b/src/bambootack/gateway/codec.cc
@@ -132,7 +132,7 @@
 
 template <typename A>
 void serialize(A& ar, SlotReply& it) {
-  ar(it.key, it.slot, it.knows_servers, it.quarantined);
+  ar(it.key, it.slot, it.knows_servers, it.quarantined, it.admission_wait);
 }
 
 template <typename A>
--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -236,6 +236,8 @@
     std::uint32_t group = 0;  ///< Group of servers to request from.
     /// Consecutive groups that had no free slot.
     std::uint32_t groups_without_slot = 0;
+    /// Until limited servers admit a request, as the last dispatcher promised.
+    std::optional<core::Duration> admission_wait;
     /// Attempts, except those that could not connect.
     int attempts = 0;
     /// Those among `attempts` that a server may have executed; excludes those
--- a/src/bambootack/gateway/gateway_attempts.cc
+++ b/src/bambootack/gateway/gateway_attempts.cc
@@ -143,7 +143,7 @@
   }
   Refuse(handle,
          request.possible_executions > 0 ? request.last_error : not_executed,
-         now);
+         now, request.admission_wait.value_or(kDefaultRetryWait));
 }
 
 void Gateway::RequestSlot(core::Handle handle, core::Time now) {
@@ -212,16 +212,17 @@
 /// `local`, in place of a dispatcher that does not answer.
 void Gateway::ChooseFromPool(core::Handle handle, bool local,
                              SlotRequirements& requirements, core::Time now) {
-  const Request& request = *requests_.Find(handle);
+  Request& request = *requests_.Find(handle);
   if (!request.attempt &&
       poison_detector_.IsQuarantined(requirements.fingerprint, now)) {
     Refuse(handle, core::ErrorKind::kRequestHeld, now);
     return;
   }
-  OnSlotDecision(
-      handle,
-      AcquireSlot(options_.vm, local, request.attempts > 0, requirements, now),
-      options_.vm, now);
+  auto slot =
+      AcquireSlot(options_.vm, local, request.attempts > 0, requirements, now);
+  request.admission_wait =
+      slot ? std::nullopt : pool_.PromiseAdmission(requirements, now);
+  OnSlotDecision(handle, std::move(slot), options_.vm, now);
 }
 
 RetryAllowance& Gateway::RetryAllowanceFor(
--- a/src/bambootack/gateway/gateway_peers.cc
+++ b/src/bambootack/gateway/gateway_peers.cc
@@ -39,9 +39,11 @@
   if (knows_servers) {
     slot = AcquireSlot(from, false, message.retry, message.requirements, now);
   }
-  actions_.emplace_back(SendToPeer{
-      from,
-      SlotReply{message.key, std::move(slot), knows_servers, quarantined}});
+  const auto wait =
+      slot ? std::nullopt : pool_.PromiseAdmission(message.requirements, now);
+  actions_.emplace_back(
+      SendToPeer{from, SlotReply{message.key, std::move(slot), knows_servers,
+                                 quarantined, wait}});
 }
 
 void Gateway::Handle(core::VmId from, SlotReply& message, core::Time now) {
@@ -61,6 +63,7 @@
   } else if (awaited) {
     metrics_.ObserveSlotWait(now - request->slot_requested_at);
     request->awaited_dispatcher.reset();
+    request->admission_wait = message.admission_wait;
     OnSlotDecision(message.key.request, std::move(message.slot), from, now);
   } else if (message.slot) {
     ReleaseSlot(from, {message.slot->lease, AttemptOutcome::kCancelled}, now);
--- a/src/bambootack/gateway/messages.h
+++ b/src/bambootack/gateway/messages.h
@@ -43,6 +43,9 @@
   std::optional<Slot> slot;
   bool knows_servers = true;  ///< False if the dispatcher has just started.
   bool quarantined = false;   ///< The request is a poison request.
+  /// Time until a server is expected to admit a request, if the limits that the
+  /// servers named are the only obstacle.
+  std::optional<core::Duration> admission_wait;
 };
 
 /// @brief Entry to dispatcher: the slot is free again, with the outcome and the
--- a/src/bambootack/gateway/server_choice.cc
+++ b/src/bambootack/gateway/server_choice.cc
@@ -59,6 +59,14 @@
 constexpr int kSlotsReservedForUrgent = 1;
 constexpr int kMinSlotsForReservation = 3;
 
+/// Callers return after a third of their remaining time at the latest, a few
+/// seconds. Promises of admission beyond this time start over.
+constexpr core::Duration kMaxPromise = std::chrono::seconds(4);
+
+/// Rate, per second, on which the promises of servers are based that admit
+/// fewer requests.
+constexpr double kMinPromisedRate = 0.25;
+
 /// Tiers of candidates, the lowest first. Repeatable requests go first to
 /// servers that need a probe and to idle ones.
 constexpr int kPreferredTier = -1;
@@ -243,6 +251,33 @@
                now);
 }
 
+std::optional<core::Duration> ServerPool::PromiseAdmission(
+    const SlotRequirements& requirements, core::Time now) {
+  const auto servers = servers_by_service_.find(requirements.service);
+  if (limited_servers_ == 0 || requirements.limit_share <= 0.0 ||
+      servers == servers_by_service_.end()) {
+    return std::nullopt;
+  }
+  double rate = 0.0;
+  const auto& groups = servers->second;
+  for (const std::string& id : groups[requirements.group % groups.size()]) {
+    const auto& limit = servers_.find(id)->second.limit.Rate();
+    if (!limit) {
+      return std::nullopt;
+    }
+    rate += *limit * requirements.limit_share;
+  }
+  const auto interval = std::chrono::duration_cast<core::Duration>(
+      std::chrono::duration<double>(1.0 / std::max(rate, kMinPromisedRate)));
+  core::Time& promised =
+      admission_promises_[GroupName(requirements.service, requirements.group)];
+  promised = std::max(promised, now) + interval;
+  if (promised > now + kMaxPromise) {
+    promised = now + interval;
+  }
+  return std::chrono::duration_cast<core::Duration>(promised - now);
+}
+
 Slot ServerPool::Grant(ServerState& state, const SlotRequirements& requirements,
                        core::VmId holder, bool probe, core::Time now) {
   const core::Duration average =
--- a/src/bambootack/gateway/server_pool.h
+++ b/src/bambootack/gateway/server_pool.h
@@ -126,6 +126,14 @@
                               core::VmId holder, core::Time now,
                               core::Random& random);
 
+  /// @brief Promises a time at which the servers of a group are expected to
+  /// admit a request. Each promise is later than the last one, so that callers
+  /// return at the rate that the servers take.
+  /// @param requirements Those of a call of `Acquire` that found no slot.
+  /// @return Nothing if a server of the group has no limit.
+  [[nodiscard]] std::optional<core::Duration> PromiseAdmission(
+      const SlotRequirements& requirements, core::Time now);
+
   /// @brief Finds the server and the start of a lease.
   /// @return Nothing if the lease is unknown.
   [[nodiscard]] std::optional<LeaseStart> FindLease(std::uint64_t lease) const;
@@ -282,6 +290,8 @@
   std::set<std::pair<std::string, std::uint64_t>> leases_by_server_;
   std::set<std::pair<core::Time, std::uint64_t>> leases_by_expiry_;
   std::map<std::string, core::Duration, std::less<>> response_times_;
+  /// Latest admission that was promised, by group.
+  std::map<std::string, core::Time, std::less<>> admission_promises_;
   std::vector<HealthChange> health_changes_;
   std::vector<FinishedAttempt> finished_attempts_;
   std::uint64_t last_lease_ = 0;
--- a/test/bambootack/gateway/gateway_notices_test.cc
+++ b/test/bambootack/gateway/gateway_notices_test.cc
@@ -359,6 +359,36 @@
   BOOST_TEST(served > 1200);
 }
 
+// Guards against callers that return at once, or all at one moment, to servers
+// that admit few requests.
+BOOST_AUTO_TEST_CASE(callers_return_at_the_rate_of_limited_servers) {
+  gateway::GatewayFixture fixture;
+  fixture.Configure();
+  for (std::uint64_t i = 1; i <= 8; ++i) {
+    fixture.SendRequest(i, "/book/1");
+    BOOST_TEST_REQUIRE(fixture.attempts.size() == 1U);
+    fixture.AnswerAttempt(fixture.attempts.front().id, 200,
+                          {{"Request-Id", std::to_string(i)},
+                           {"Signature", "x"},
+                           {"Limit", "2.5"}});
+    fixture.Advance(std::chrono::milliseconds(1700));
+  }
+  std::vector<double> waits;
+  for (std::uint64_t i = 100; waits.size() < 3; ++i) {
+    fixture.SendRequest(i, "/book/1");
+    if (!fixture.answers.empty()) {
+      const core::HttpAnswer& answer = fixture.answers.front().http;
+      BOOST_TEST(answer.status == 503);
+      waits.push_back(std::stod(std::string(
+          core::FindHeader(answer.headers, "Retry-After").value_or("0"))));
+    }
+  }
+  // Four servers admit 10 requests/s.
+  BOOST_TEST(waits[0] == 0.1, boost::test_tools::tolerance(0.01));
+  BOOST_TEST(waits[1] == 0.2, boost::test_tools::tolerance(0.01));
+  BOOST_TEST(waits[2] == 0.3, boost::test_tools::tolerance(0.01));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace bambootack::gateway
