--- a/src/bambootack/gateway/gateway_attempts.cc
+++ b/src/bambootack/gateway/gateway_attempts.cc
@@ -56,7 +56,8 @@
 constexpr std::uint32_t kMaxGroupsTried = 3;
 
 /// Interval at which a delay-tolerant request that found no slot repeats its
-/// slot request. Such a request is refused after its latency target divided by
+/// slot request. Any request waits for an admission that limited servers
+/// promise. Such a request is refused after its latency target divided by
 /// `kCapacityWaitDivisor`, early enough for the caller to act on it.
 constexpr core::Duration kSlotRequestInterval = std::chrono::milliseconds(80);
 constexpr int kCapacityWaitDivisor = 8;
@@ -328,8 +329,11 @@
   Request& request = *requests_.Find(handle);
   const core::Time until = request.capacity_wait_start +
                            request.route->latency_target / kCapacityWaitDivisor;
-  if (now + kSlotRequestInterval > std::min(until, request.deadline) ||
-      !request.table->IsDelayTolerant(request.service, *request.route)) {
+  const core::Duration interval =
+      request.admission_wait.value_or(kSlotRequestInterval);
+  if (now + interval > std::min(until, request.deadline) ||
+      (!request.admission_wait &&
+       !request.table->IsDelayTolerant(request.service, *request.route))) {
     return false;
   }
   ++request.capacity_waits;
@@ -338,7 +342,7 @@
       fmt::format("request={} service={} waits={} sends={} ms={}", request.id,
                   request.service, request.capacity_waits, request.attempts,
                   core::ToMilliseconds(now - request.arrived)));
-  request.next_slot_request = now + kSlotRequestInterval;
+  request.next_slot_request = now + interval;
   UpdateTimer(handle, request);
   return true;
 }
--- a/src/bambootack/gateway/server_choice.cc
+++ b/src/bambootack/gateway/server_choice.cc
@@ -117,6 +117,14 @@
   return state.slots * (1.0 + std::max(0.0, queue_rounds));
 }
 
+/// Whether the limit that a server named keeps it from taking a request.
+bool ServerPool::IsLimitUsed(const ServerState& state,
+                             const SlotRequirements& requirements) {
+  return state.limit.Rate() &&
+         (requirements.limit_share <= 0.0 ||
+          !state.limit.Admits(requirements.defers_to_urgent));
+}
+
 std::optional<ServerPool::Preference> ServerPool::PreferenceOf(
     const ServerState& state, const SlotRequirements& requirements,
     core::Time now, core::Random& random) const {
@@ -124,9 +132,7 @@
                 state.id) != requirements.excluded.end()) {
     return std::nullopt;
   }
-  if (state.limit.Rate() &&
-      (requirements.limit_share <= 0.0 ||
-       !state.limit.Admits(requirements.defers_to_urgent))) {
+  if (IsLimitUsed(state, requirements)) {
     return std::nullopt;
   }
   const double load = LoadOf(state, now);
@@ -232,18 +238,22 @@
   const auto& groups = servers->second;
   std::optional<Preference> best;
   ServerState* chosen = nullptr;
+  bool healthy_soon = false;
   for (const std::string& id : groups[requirements.group % groups.size()]) {
     ServerState& state = servers_.find(id)->second;
     if (state.limit.Rate() && requirements.limit_share > 0.0) {
       state.limit.Refill(requirements.limit_share, now);
     }
+    healthy_soon |=
+        state.successes_needed == 0 && IsLimitUsed(state, requirements);
     const auto preference = PreferenceOf(state, requirements, now, random);
     if (preference && (!best || *preference < *best)) {
       best = preference;
       chosen = &state;
     }
   }
-  if (chosen == nullptr) {
+  const bool can_wait = healthy_soon && !requirements.repeatable;
+  if (chosen == nullptr || (can_wait && best->tier == kUnhealthyTier)) {
     return std::nullopt;
   }
   return Grant(*chosen, requirements, holder,
@@ -261,11 +271,14 @@
   double rate = 0.0;
   const auto& groups = servers->second;
   for (const std::string& id : groups[requirements.group % groups.size()]) {
-    const auto& limit = servers_.find(id)->second.limit.Rate();
-    if (!limit) {
+    const ServerState& state = servers_.find(id)->second;
+    const auto& limit = state.limit.Rate();
+    if (state.successes_needed == 0 && !limit) {
       return std::nullopt;
     }
-    rate += *limit * requirements.limit_share;
+    if (state.successes_needed == 0) {
+      rate += *limit * requirements.limit_share;
+    }
   }
   const auto interval = std::chrono::duration_cast<core::Duration>(
       std::chrono::duration<double>(1.0 / std::max(rate, kMinPromisedRate)));
--- a/src/bambootack/gateway/server_pool.h
+++ b/src/bambootack/gateway/server_pool.h
@@ -130,7 +130,7 @@
   /// admit a request. Each promise is later than the last one, so that callers
   /// return at the rate that the servers take.
   /// @param requirements Those of a call of `Acquire` that found no slot.
-  /// @return Nothing if a server of the group has no limit.
+  /// @return Nothing if a healthy server of the group has no limit.
   [[nodiscard]] std::optional<core::Duration> PromiseAdmission(
       const SlotRequirements& requirements, core::Time now);
 
@@ -254,6 +254,8 @@
 
   void DivideIntoGroups();
   void CountLimitedServers();
+  [[nodiscard]] static bool IsLimitUsed(const ServerState& state,
+                                        const SlotRequirements& requirements);
   [[nodiscard]] std::optional<Preference> PreferenceOf(
       const ServerState& state, const SlotRequirements& requirements,
       core::Time now, core::Random& random) const;
--- a/test/bambootack/gateway/codec_test.cc
+++ b/test/bambootack/gateway/codec_test.cc
@@ -48,17 +48,24 @@
   update.config_version = 12;
   update.config =
       gateway::GatewayConfig{12, {{"r", "a.example", "/r/", true}}, {"desk"}};
-  return {gateway::SlotRequest{{{1, 2}, 3}, true, requirements},
-          gateway::SlotReply{{{1, 2}, 3}, gateway::Slot{7, "a", "10.0.0.1:80"}},
-          gateway::SlotReply{{{1, 2}, 3}, std::nullopt, false},
-          gateway::SlotRelease{7, gateway::AttemptOutcome::kLost,
-                               gateway::ServerLoad{2, 1}},
-          gateway::MemberNotice{"10.0.0.1:7000", "west", true},
-          update,
-          gateway::StateQuery{4, 12},
-          gateway::SlotReply{{{1, 2}, 3}, std::nullopt, true, true},
-          gateway::CrashNotice{42, "a", 7},
-          gateway::LeavingNotice{"a", 1700}};
+  return {
+      gateway::SlotRequest{{{1, 2}, 3}, true, requirements},
+      gateway::SlotRequest{
+          {{1, 2}, 3}, true, requirements, true, {{"a", 2.5, milliseconds(3)}}},
+      gateway::SlotReply{{{1, 2}, 3}, gateway::Slot{7, "a", "10.0.0.1:80"}},
+      gateway::SlotReply{{{1, 2}, 3}, std::nullopt, false},
+      gateway::SlotRelease{7, gateway::AttemptOutcome::kLost,
+                           gateway::ServerLoad{2, 1}},
+      gateway::SlotRelease{7, gateway::AttemptOutcome::kServed, std::nullopt,
+                           gateway::LimitReport{2.5}},
+      gateway::SlotReply{
+          {{1, 2}, 3}, std::nullopt, true, false, milliseconds(40)},
+      gateway::MemberNotice{"10.0.0.1:7000", "west", true},
+      update,
+      gateway::StateQuery{4, 12},
+      gateway::SlotReply{{{1, 2}, 3}, std::nullopt, true, true},
+      gateway::CrashNotice{42, "a", 7},
+      gateway::LeavingNotice{"a", 1700}};
 }
 
 }  // namespace
--- a/test/bambootack/gateway/server_pool_test.cc
+++ b/test/bambootack/gateway/server_pool_test.cc
@@ -385,4 +385,28 @@
   }
 }
 
+// Guards against bookings that are lost at a failing server while healthy ones,
+// which limit their requests, admit one soon.
+BOOST_AUTO_TEST_CASE(failing_servers_do_not_replace_limited_ones) {
+  const auto lost = Acquire();
+  now += milliseconds(20);
+  pool.Release(lost->lease, AttemptOutcome::kLost, std::nullopt, now);
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = "s" + std::to_string(i);
+    if (id != lost->server) {
+      pool.RecordLimit(id, {2.0}, now, now);
+    }
+  }
+  BOOST_TEST(!Acquire());  // The buckets of the limits start empty.
+  const auto wait = pool.PromiseAdmission(requirements, now);
+  BOOST_TEST_REQUIRE(wait.has_value());
+  BOOST_TEST(core::ToMilliseconds(*wait) == 166);
+  now += milliseconds(500);
+  for (int i = 0; i < 3; ++i) {
+    const auto slot = Acquire();
+    BOOST_TEST_REQUIRE(slot.has_value());
+    BOOST_TEST(slot->server != lost->server);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
