Soak: servers name limits, and the ledger checks them

Servers name whole, decimal and malformed limits, below 1 and 0, two fields and lists, for 4 to 12 s beside all other faults. The ledger counts the requests of gateways in touch that had been told.

--- a/test/soak/backend.cc
+++ b/test/soak/backend.cc
@@ -51,6 +51,7 @@
 void Backend::Restart(std::string id) {
   id_ = std::move(id);
   leaving = false;
+  limits.clear();
   running_.clear();
 }
 
@@ -100,6 +101,9 @@
 
 void Backend::Answer(CallerId caller, int status, core::Headers headers,
                      std::string body) {
+  for (const std::string& it : limits) {
+    headers.push_back({Names().limit, it});
+  }
   if (leaving) {
     headers.push_back({Names().leaving, "1"});
   }
--- a/test/soak/backend.h
+++ b/test/soak/backend.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "bambootack/core/http_message.h"
 #include "bambootack/core/ids.h"
@@ -75,6 +76,8 @@
   /// @brief Seconds of the pause with which it turns all requests away; 0 if it
   /// takes them.
   double pause_seconds = 0.0;
+  /// @brief Fields of its answers that name a limit. They end with `Restart`.
+  std::vector<std::string> limits;
   /// @brief Whether its answers say that it is leaving. Ends with `Restart`.
   bool leaving = false;
 
--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -6,6 +6,7 @@
 #include <array>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -83,6 +84,34 @@
       [&backend, what, normal] { backend.*what = normal; });
 }
 
+/// Lets a server name a limit. Odd texts name none; of several fields the
+/// lowest counts.
+void LimitServer(World& world) {
+  struct Named {
+    std::vector<std::string> fields;
+    std::optional<double> rate;
+  };
+  const std::vector<Named> choices{
+      {{"2"}, 2.0}, {{"2.7"}, 2.7},    {{"0.5"}, 0.5},
+      {{"0"}, 0.0}, {{"4", "1"}, 1.0}, {{"nan", "1.5"}, 1.5},
+      {{"-1"}, {}}, {{"nan"}, {}},     {{""}, {}}};
+  const Named& named = choices[world.random.Below(choices.size())];
+  Backend& backend = *world.servers[AnyServer(world)].backend;
+  const std::string id = backend.Id();
+  world.Disturb(
+      Between(world, 4000, 12000), world.unwatched,
+      [&] {
+        backend.limits = named.fields;
+        world.ledger.NoteLimit(id, named.rate, World::Now());
+      },
+      [&world, &backend, id] {
+        if (backend.Id() == id) {
+          backend.limits.clear();
+          world.ledger.NoteLimit(id, std::nullopt, World::Now());
+        }
+      });
+}
+
 void KillAll(World& world) {
   const core::Duration down = Between(world, 200, 1500);
   for (std::size_t i = 0; i < world.vms.size(); ++i) {
@@ -202,6 +231,7 @@
     FaultKind{
         "server-pauses",
         [](World& it) { DisturbWork(it, &Backend::pause_seconds, 0.9, 0.0); }},
+    FaultKind{"server-limits", &LimitServer},
     FaultKind{"store-down",
               [](World& it) {
                 DisturbStore(it, {.down = true}, Between(it, 500, 4000));
--- a/test/soak/ledger.cc
+++ b/test/soak/ledger.cc
@@ -27,6 +27,10 @@
 constexpr core::Duration kPauseStart = milliseconds(500);
 constexpr int kMaxArrivalsInPause = 2;
 constexpr double kRecoveredShare = 0.25;
+constexpr core::Duration kLimitWindow = milliseconds(4000);
+constexpr core::Duration kLimitTold = milliseconds(500);
+constexpr double kLimitTolerance = 1.5;
+constexpr double kLimitSlack = 5.0;
 
 bool PromisesNotRun(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -93,6 +97,7 @@
   it.last_server = server;
   const Pair pair{it.gateway, server};
   CheckPause(pair, now);
+  CheckLimit(pair, now);
   const auto announced = announced_.find(pair);
   if (announced != announced_.end() && it.sent > announced->second + kDrain &&
       view_.gateways[it.gateway].IsCalm(now, now - announced->second)) {
@@ -147,6 +152,7 @@
   }
   const Pair pair{found->second.gateway, server};
   CheckPause(pair, now);
+  CheckLimit(pair, now);
   if (pause.count() == 0) {
     return;
   }
@@ -175,6 +181,58 @@
   }
 }
 
+void Ledger::NoteLimit(const std::string& server, std::optional<double> rate,
+                       core::Time now) {
+  if (rate) {
+    limits_[server].rates.emplace_back(now, *rate);
+  } else {
+    ForgetLimit(server);
+  }
+}
+
+void Ledger::ForgetLimit(const std::string& server) {
+  limits_.erase(server);
+  std::erase_if(told_limits_,
+                [&](const auto& it) { return it.first.second == server; });
+}
+
+/// More than one and a half times the highest limit of the last 4 s, and five
+/// requests, from gateways in touch that had been told.
+void Ledger::CheckLimit(const Pair& pair, core::Time now) {
+  const auto found = limits_.find(pair.second);
+  const auto told = told_limits_.find(pair);
+  if (found == limits_.end() || told == told_limits_.end() ||
+      now < told->second + kLimitTold) {
+    return;
+  }
+  Limit& it = found->second;
+  it.arrivals.emplace_back(now, pair.first);
+  std::erase_if(it.arrivals, [&](const auto& arrival) {
+    return arrival.first <= now - kLimitWindow;
+  });
+  double rate = it.rates.back().second;
+  for (auto change = it.rates.rbegin() + 1;
+       change != it.rates.rend() &&
+       std::prev(change)->first > now - kLimitWindow;
+       ++change) {
+    rate = std::max(rate, change->second);
+  }
+  const auto got = std::count_if(
+      it.arrivals.begin(), it.arrivals.end(), [&](const auto& arrival) {
+        return view_.gateways[arrival.second].IsCalm(now, kLimitWindow);
+      });
+  if (*it.first_told + Calm::kCalmTime <= now &&
+      static_cast<double>(got) >
+          rate * kLimitTolerance *
+                  std::chrono::duration<double>(kLimitWindow).count() +
+              kLimitSlack) {
+    Break("LIMIT",
+          fmt::format("server={} got {} requests in 4 s, limit {}/s",
+                      pair.second, got, rate),
+          now);
+  }
+}
+
 void Ledger::NoteEnd(const std::string& id,
                      const bambootack::net::HttpCallResult& result,
                      core::Time now) {
@@ -186,6 +244,12 @@
       if (core::FindHeader(result.answer.headers, Names().leaving)) {
         announced_.emplace(Pair{it.gateway, it.last_server}, now);
       }
+      if (const auto limit = limits_.find(it.last_server);
+          limit != limits_.end() &&
+          core::FindHeader(result.answer.headers, Names().limit)) {
+        told_limits_.emplace(Pair{it.gateway, it.last_server}, now);
+        limit->second.first_told = limit->second.first_told.value_or(now);
+      }
       CheckAnswer(id, it, result.answer, now);
       break;
     case bambootack::node::AttemptEnd::kLost:
--- a/test/soak/ledger.h
+++ b/test/soak/ledger.h
@@ -113,8 +113,16 @@
   void NoteStart(const std::string& server) {
     std::erase_if(announced_,
                   [&](const auto& it) { return it.first.second == server; });
+    ForgetLimit(server);
   }
 
+  /// @brief Notes that a server names another limit in its answers.
+  /// @param server Its id.
+  /// @param rate Requests/s, or nothing if it names none any more.
+  /// @param now Current time.
+  void NoteLimit(const std::string& server, std::optional<double> rate,
+                 core::Time now);
+
   /// @brief Notes a request that a caller sends.
   /// @param id Its id.
   /// @param attempt The request.
@@ -193,7 +201,17 @@
     int arrivals = 0;
   };
 
+  /// A limit that a server names in its answers.
+  struct Limit {
+    std::vector<std::pair<core::Time, double>> rates;  ///< With their starts.
+    std::optional<core::Time> first_told;              ///< To any gateway.
+    /// Requests of gateways that had been told.
+    std::vector<std::pair<core::Time, std::size_t>> arrivals;
+  };
+
   void CheckPause(const Pair& pair, core::Time now);
+  void CheckLimit(const Pair& pair, core::Time now);
+  void ForgetLimit(const std::string& server);
   [[nodiscard]] static double CountArrivals(
       const std::vector<Arrival>& arrivals, core::Time after, core::Time until,
       bool repeat);
@@ -213,6 +231,9 @@
   /// When a gateway first passed on that a server is leaving.
   std::map<Pair, core::Time> announced_;
   std::map<Pair, Pause> pauses_;
+  std::map<std::string, Limit> limits_;  ///< By server.
+  /// When a gateway first passed on a limit of a server.
+  std::map<Pair, core::Time> told_limits_;
   std::map<std::string, Attempt> attempts_;
   std::map<std::string, core::Time> left_;
   std::map<std::string, std::vector<Arrival>> arrivals_;  ///< By service.
--- a/test/soak/ledger_test.cc
+++ b/test/soak/ledger_test.cc
@@ -273,4 +273,32 @@
   BOOST_TEST(IsBroken("RECOVER"));
 }
 
+// Guards against a soak that does not see a server that gets more than it has
+// named.
+BOOST_AUTO_TEST_CASE(requests_beyond_a_limit_are_seen) {
+  LedgerFixture it;
+  it.ledger.NoteLimit("s1", 2.0, it.now);
+  int number = 0;
+  const auto play = [&](int requests, milliseconds gap) {
+    for (int i = 0; i < requests; ++i) {
+      const std::string id = std::to_string(++number);
+      it.Send(id);
+      it.Run(id);
+      HttpCallResult result;
+      result.end = AttemptEnd::kAnswered;
+      result.answer = {200,
+                       {{soak::Names().signature, soak::SignatureOf(id)},
+                        {soak::Names().limit, "2"}},
+                       soak::BodyOf(id, "/book/1")};
+      it.ledger.NoteEnd(id, result, it.now);
+      it.now += gap;
+    }
+  };
+  play(10, milliseconds(500));
+  BOOST_TEST(it.ledger.Broken().empty());
+  play(17, milliseconds(200));
+  BOOST_TEST_REQUIRE(!it.ledger.Broken().empty());
+  BOOST_TEST(it.ledger.Broken().front().starts_with("LIMIT"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
