Answers without a final status are invalid for every reader

A report of another operator: a server's status 000 reached a client as an answer. But the readers behind it took any status below 500 for an answer of the server: the gateway's classification for served, the dispatcher role for completed work and the health evidence for a success, so that one change in the client would have passed 000 on. All three now ask IsFinalStatus, 200 to 599.

--- a/src/bambootack/core/http_message.h
+++ b/src/bambootack/core/http_message.h
@@ -47,6 +47,11 @@
   friend bool operator==(const HttpAnswer&, const HttpAnswer&) = default;
 };
 
+/// @brief Whether a status code ends an exchange (RFC 9110, 15): 200 to 599.
+[[nodiscard]] constexpr bool IsFinalStatus(int status) noexcept {
+  return status >= 200 && status <= 599;
+}
+
 /// @brief Finds a header field without regard to case.
 /// @param headers Fields to search.
 /// @param name Name of the field.
--- a/src/bambootack/gateway/server_protocol.cc
+++ b/src/bambootack/gateway/server_protocol.cc
@@ -127,6 +127,9 @@
 
 AttemptOutcome Classify(const HeaderNames& names, std::string_view request_id,
                         const core::HttpAnswer& answer) {
+  if (!core::IsFinalStatus(answer.status)) {
+    return AttemptOutcome::kInvalid;
+  }
   const core::Headers& headers = answer.headers;
   const auto echoed = core::FindHeader(headers, names.request_id);
   if (echoed && *echoed != request_id) {
--- a/src/bambootack/node/dispatcher_role.cc
+++ b/src/bambootack/node/dispatcher_role.cc
@@ -52,6 +52,10 @@
       return {RunState::kUncertain,
               Refusal(core::ErrorKind::kBackendAnswerInvalid)};
   }
+  if (!core::IsFinalStatus(event.answer.status)) {
+    return {RunState::kUncertain,
+            Refusal(core::ErrorKind::kBackendAnswerInvalid)};
+  }
   if (event.answer.status == kExplicitRefusalStatus &&
       core::FindHeader(event.answer.headers, kNotStartedHeader)) {
     return {RunState::kNotStarted, Refusal(core::ErrorKind::kNoServer)};
--- a/src/bambootack/node/health_glue.cc
+++ b/src/bambootack/node/health_glue.cc
@@ -40,6 +40,9 @@
     case AttemptEnd::kInvalid:
       return EvidenceKind::kError;
   }
+  if (!core::IsFinalStatus(event.answer.status)) {
+    return EvidenceKind::kError;
+  }
   const auto refusal =
       core::FindHeader(event.answer.headers, kNotStartedHeader);
   if (refusal) {
--- a/test/bambootack/gateway/server_protocol_test.cc
+++ b/test/bambootack/gateway/server_protocol_test.cc
@@ -133,6 +133,18 @@
              "forged");
 }
 
+// Guards against a status that ends no exchange and reaches the caller as an
+// answer.
+BOOST_AUTO_TEST_CASE(answers_without_a_final_status_are_invalid) {
+  for (const int status : {-1, 0, 1, 99, 100, 103, 199, 600, 999}) {
+    const core::HttpAnswer answer{
+        status, {{"Request-Id", "7"}, {"Signature", "x"}}, "body"};
+    BOOST_TEST(
+        (gateway::Classify(Names(), "7", answer) == AttemptOutcome::kInvalid),
+        status);
+  }
+}
+
 // Guards against a pause that ends early or never because its text was taken
 // for another number.
 BOOST_AUTO_TEST_CASE(pauses_are_read_from_refusals) {
--- a/test/bambootack/node/dispatcher_role_test.cc
+++ b/test/bambootack/node/dispatcher_role_test.cc
@@ -77,6 +77,8 @@
        true,
        {}},
       {AttemptEnd::kAnswered, {}, 503, false, RunState::kCompleted},
+      {AttemptEnd::kAnswered, {}, 0, false, RunState::kUncertain},
+      {AttemptEnd::kAnswered, {}, 600, false, RunState::kUncertain},
       {AttemptEnd::kLost, {}, 0, false, RunState::kUncertain},
       {AttemptEnd::kTimedOut, {}, 0, false, RunState::kUncertain},
       {AttemptEnd::kInvalid, {}, 0, false, RunState::kUncertain},
