--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -358,7 +358,8 @@
                       core::VmId granter, core::Time now);
   void StartAttemptInSlot(core::Handle handle, Slot slot, core::VmId granter,
                           core::Time now);
-  void ReleaseSlot(core::VmId granter, SlotRelease release, core::Time now);
+  void ReleaseSlot(core::VmId granter, const SlotRelease& release,
+                   core::Time now);
   void RetryOrRefuse(core::Handle handle, core::Time now);
   void LimitAttempt(core::Handle handle, core::Time now);
   using Allowances = std::map<std::string, RetryAllowance, std::less<>>;
--- a/src/bambootack/gateway/gateway_attempts.cc
+++ b/src/bambootack/gateway/gateway_attempts.cc
@@ -550,12 +550,12 @@
   ReleaseSlot(attempt.granter, {attempt.slot.lease, outcome}, now);
 }
 
-void Gateway::ReleaseSlot(core::VmId granter, SlotRelease release,
+void Gateway::ReleaseSlot(core::VmId granter, const SlotRelease& release,
                           core::Time now) {
   if (granter == options_.vm) {
     pool_.Release(release.lease, release.outcome, release.load, now);
   } else {
-    actions_.emplace_back(SendToPeer{granter, std::move(release)});
+    actions_.emplace_back(SendToPeer{granter, release});
   }
 }
 
