Quota and server limits: one schedule for the returns of refused callers

PromiseAdmission of the server pool repeated what TokenBucket::PromiseToken does: one interval after the last promise, starting over beyond 4 s. Both use ReturnSchedule. The rate below which the pool's promises stopped growing was the inverse of the longest promise and is derived. Behaviour is unchanged: test_gateway and test_quota pass with the same expectations.

--- a/src/bambootack/gateway/server_choice.cc
+++ b/src/bambootack/gateway/server_choice.cc
@@ -59,14 +59,6 @@
 constexpr int kSlotsReservedForUrgent = 1;
 constexpr int kMinSlotsForReservation = 3;
 
-/// Callers return after a third of their remaining time at the latest, a few
-/// seconds. Promises of admission beyond this time start over.
-constexpr core::Duration kMaxPromise = std::chrono::seconds(4);
-
-/// Rate, per second, on which the promises of servers are based that admit
-/// fewer requests.
-constexpr double kMinPromisedRate = 0.25;
-
 /// Tiers of candidates, the lowest first. Repeatable requests go first to
 /// servers that need a probe and to idle ones.
 constexpr int kPreferredTier = -1;
@@ -280,15 +272,8 @@
       rate += *limit * requirements.limit_share;
     }
   }
-  const auto interval = std::chrono::duration_cast<core::Duration>(
-      std::chrono::duration<double>(1.0 / std::max(rate, kMinPromisedRate)));
-  core::Time& promised =
-      admission_promises_[GroupName(requirements.service, requirements.group)];
-  promised = std::max(promised, now) + interval;
-  if (promised > now + kMaxPromise) {
-    promised = now + interval;
-  }
-  return std::chrono::duration_cast<core::Duration>(promised - now);
+  return returns_[GroupName(requirements.service, requirements.group)].Next(
+      rate, now);
 }
 
 Slot ServerPool::Grant(ServerState& state, const SlotRequirements& requirements,
--- a/src/bambootack/gateway/server_pool.h
+++ b/src/bambootack/gateway/server_pool.h
@@ -18,6 +18,7 @@
 #include "bambootack/gateway/model.h"
 #include "bambootack/gateway/server_registry.h"
 #include "bambootack/gateway/stated_limit.h"
+#include "bambootack/quota/return_schedule.h"
 
 namespace bambootack::gateway {
 
@@ -292,8 +293,8 @@
   std::set<std::pair<std::string, std::uint64_t>> leases_by_server_;
   std::set<std::pair<core::Time, std::uint64_t>> leases_by_expiry_;
   std::map<std::string, core::Duration, std::less<>> response_times_;
-  /// Latest admission that was promised, by group.
-  std::map<std::string, core::Time, std::less<>> admission_promises_;
+  /// Admissions that were promised to refused callers, by group.
+  std::map<std::string, quota::ReturnSchedule, std::less<>> returns_;
   std::vector<HealthChange> health_changes_;
   std::vector<FinishedAttempt> finished_attempts_;
   std::uint64_t last_lease_ = 0;
--- a/src/bambootack/quota/token_bucket.cc
+++ b/src/bambootack/quota/token_bucket.cc
@@ -6,9 +6,6 @@
 namespace bambootack::quota {
 namespace {
 
-/// Callers return after a third of their remaining time at the latest, a few
-/// seconds. Promises beyond this time start over.
-constexpr core::Duration kMaxPromise = std::chrono::seconds(4);
 constexpr core::Duration kMinPromise = std::chrono::milliseconds(20);
 
 }  // namespace
@@ -43,14 +40,9 @@
 
 core::Duration TokenBucket::PromiseToken(core::Time now) {
   if (rate_ <= 0.0) {
-    return kMaxPromise;
+    return kMaxReturnTime;
   }
-  const auto interval = std::chrono::duration_cast<core::Duration>(
-      std::chrono::duration<double>(std::min(1.0 / rate_, 4.0)));
-  const core::Time next = std::max(promised_until_, now) + interval;
-  promised_until_ = next > now + kMaxPromise ? now + interval : next;
-  return std::max(kMinPromise, std::chrono::duration_cast<core::Duration>(
-                                   promised_until_ - now));
+  return std::max(kMinPromise, returns_.Next(rate_, now));
 }
 
 }  // namespace bambootack::quota
--- a/src/bambootack/quota/token_bucket.h
+++ b/src/bambootack/quota/token_bucket.h
@@ -2,6 +2,7 @@
 #define BAMBOOTACK_QUOTA_TOKEN_BUCKET_H_
 
 #include "bambootack/core/time.h"
+#include "bambootack/quota/return_schedule.h"
 
 namespace bambootack::quota {
 
@@ -36,7 +37,7 @@
   double capacity_ = 0.0;
   double tokens_ = 0.0;
   core::Time updated_at_;
-  core::Time promised_until_{};
+  ReturnSchedule returns_;
 };
 
 }  // namespace bambootack::quota
