Server limits: one lookup of a group's servers; the share is part of the requirements

The pool looked the servers of a group up in four places; ServersOf does. The limit of a candidate was evaluated twice for each slot, in the loop and in PreferenceOf. IsLimited is the same as a list of known limits that is not empty. AcquireSlot set limit_share in the requirements of its caller, which then relied on it; the share is set where the requirements are made, and the two functions take them as constant again. What an answer states about a limit is derived once instead of twice.

Behaviour is unchanged but for a repeat on a VM that does not know its fleet yet, or a held request: the pool promised an admission for a whole share that it could not grant, and now promises none or by its share. test_gateway passes.

--- a/src/bambootack/gateway/gateway.h
+++ b/src/bambootack/gateway/gateway.h
@@ -327,8 +327,7 @@
                                       core::Time now) const;
 
   void ApplyServerNotice(const Request& request, const Attempt& attempt,
-                         const ServerNotice& notice, AttemptOutcome outcome,
-                         core::Time now);
+                         const ServerNotice& notice, core::Time now);
   void RecordLimit(std::string_view server, const LimitReport& report,
                    core::Time request_sent, core::Time stated, core::VmId from);
   [[nodiscard]] bool IsPaused(std::string_view server, core::Time now) const;
@@ -352,7 +351,7 @@
   void RequestSlot(core::Handle handle, core::Time now);
   void ChooseLocally(core::Handle handle, core::Time now);
   void ChooseFromPool(core::Handle handle, bool local,
-                      SlotRequirements& requirements, core::Time now);
+                      const SlotRequirements& requirements, core::Time now);
   [[nodiscard]] bool IsUsable(const Slot& slot, core::Time now) const;
   void OnSlotDecision(core::Handle handle, std::optional<Slot> slot,
                       core::VmId granter, core::Time now);
@@ -366,11 +365,10 @@
 
   [[nodiscard]] RetryAllowance& RetryAllowanceFor(
       bool local, const SlotRequirements& requirements);
-  [[nodiscard]] std::optional<Slot> AcquireSlot(core::VmId holder, bool local,
-                                                bool retry,
-                                                SlotRequirements& requirements,
-                                                core::Time now);
-  [[nodiscard]] double LimitShareOf(const SlotRequirements& requirements,
+  [[nodiscard]] std::optional<Slot> AcquireSlot(
+      core::VmId holder, bool local, bool retry,
+      const SlotRequirements& requirements, core::Time now);
+  [[nodiscard]] double LimitShareOf(std::string_view group,
                                     core::Time now) const;
   [[nodiscard]] bool MayRetry(const Request& request, core::Time now) const;
   void ForwardAnswer(core::Handle handle, core::HttpAnswer answer,
--- a/src/bambootack/gateway/gateway_attempts.cc
+++ b/src/bambootack/gateway/gateway_attempts.cc
@@ -175,6 +175,7 @@
     if (lends_limits) {
       limit_borrower_.RecordLoan(group, options_.vm, now);
     }
+    requirements.limit_share = LimitShareOf(group, now);
     ChooseFromPool(handle, false, requirements, now);
     return;
   }
@@ -198,9 +199,11 @@
       std::exchange(request.awaited_dispatcher, std::nullopt);
   SlotRequirements requirements = RequirementsOf(request, now);
   requirements.pool_is_fleet_wide = false;
+  requirements.limit_share = 0.0;
   const std::string group = GroupName(requirements.service, requirements.group);
   // Only dispatchers grant slots of servers that limit their requests.
-  if (pool_.IsLimited(requirements.service, requirements.group) &&
+  if (!pool_.KnownLimits(requirements.service, requirements.group, now)
+           .empty() &&
       peers_.ChooseDispatcher(group, now) != dispatcher &&
       request.slot_requests < kMaxSlotRequests) {
     RequestSlot(handle, now);
@@ -212,7 +215,8 @@
 /// Acquires a slot from the pool of this VM, either as dispatcher or, if
 /// `local`, in place of a dispatcher that does not answer.
 void Gateway::ChooseFromPool(core::Handle handle, bool local,
-                             SlotRequirements& requirements, core::Time now) {
+                             const SlotRequirements& requirements,
+                             core::Time now) {
   Request& request = *requests_.Find(handle);
   if (!request.attempt &&
       poison_detector_.IsQuarantined(requirements.fingerprint, now)) {
@@ -249,12 +253,10 @@
 
 /// Part of the limits of a group's servers that this VM may grant as their
 /// dispatcher.
-double Gateway::LimitShareOf(const SlotRequirements& requirements,
-                             core::Time now) const {
+double Gateway::LimitShareOf(std::string_view group, core::Time now) const {
   if (pool_.LimitedServers() == 0 || !sync_.IsFleetKnown()) {
     return 0.0;
   }
-  const std::string group = GroupName(requirements.service, requirements.group);
   return limit_borrower_.ShareOf(group, peers_.RankOfSelf(group),
                                  peers_.FleetSize(), !shutdown_, now);
 }
@@ -264,7 +266,7 @@
 /// cannot tell its part of the burst and grants no retries.
 std::optional<Slot> Gateway::AcquireSlot(core::VmId holder, bool local,
                                          bool retry,
-                                         SlotRequirements& requirements,
+                                         const SlotRequirements& requirements,
                                          core::Time now) {
   const bool fleet_known = sync_.IsFleetKnown();
   if (poison_detector_.IsQuarantined(requirements.fingerprint, now) ||
@@ -274,7 +276,6 @@
   if (fleet_known && !retry && !requirements.waited_for_slot) {
     RetryAllowanceFor(local, requirements).RecordFirstAttempt(now);
   }
-  requirements.limit_share = local ? 0.0 : LimitShareOf(requirements, now);
   std::optional<Slot> slot = pool_.Acquire(requirements, holder, now, random_);
   if (slot && retry && !RetryAllowanceFor(local, requirements).TrySpend(now)) {
     pool_.Release(slot->lease, AttemptOutcome::kCancelled, std::nullopt, now);
@@ -432,20 +433,24 @@
   const Attempt finished = *std::exchange(request.attempt, std::nullopt);
   by_attempt_.erase(found);
   std::optional<ServerNotice> notice;
+  std::optional<LimitReport> limit;
   if (end == node::AttemptEnd::kAnswered &&
       outcome != AttemptOutcome::kInvalid) {
     notice = ReadServerNotice(options_.header_names, answer);
+    limit = LimitReportOf(*notice, outcome);
   }
-  ReleaseSlot(finished.granter,
-              {finished.slot.lease, outcome, load,
-               notice ? LimitReportOf(*notice, outcome) : std::nullopt},
+  ReleaseSlot(finished.granter, {finished.slot.lease, outcome, load, limit},
               now);
   if (finished.granter != options_.vm) {
     pool_.RecordAttempt(finished.slot.server, request.route->id,
                         now - finished.started, outcome, now);
   }
   if (notice) {
-    ApplyServerNotice(request, finished, *notice, outcome, now);
+    ApplyServerNotice(request, finished, *notice, now);
+  }
+  if (limit) {
+    RecordLimit(finished.slot.server, *limit, finished.started, now,
+                options_.vm);
   }
   metrics_.CountAttempt(outcome);
   Log(log::EventId::kSendEnded,
--- a/src/bambootack/gateway/gateway_notices.cc
+++ b/src/bambootack/gateway/gateway_notices.cc
@@ -20,8 +20,7 @@
 }  // namespace
 
 void Gateway::ApplyServerNotice(const Request& request, const Attempt& attempt,
-                                const ServerNotice& notice,
-                                AttemptOutcome outcome, core::Time now) {
+                                const ServerNotice& notice, core::Time now) {
   const std::string& server = attempt.slot.server;
   const auto registered = registry_.Servers().find(server);
   if (notice.leaving && registered != registry_.Servers().end()) {
@@ -45,9 +44,6 @@
   if (notice.limit) {
     metrics_.CountServerLimit();
   }
-  if (const auto report = LimitReportOf(notice, outcome)) {
-    RecordLimit(server, *report, attempt.started, now, options_.vm);
-  }
   if (notice.malformed_pause) {
     Log(log::EventId::kServerPaused,
         fmt::format("server={} ms=0 ignored={}", server,
--- a/src/bambootack/gateway/gateway_peers.cc
+++ b/src/bambootack/gateway/gateway_peers.cc
@@ -31,11 +31,12 @@
     const core::Time stated = now - it.age;
     RecordLimit(it.server, {it.rate}, stated, stated, from);
   }
+  const std::string group =
+      GroupName(message.requirements.service, message.requirements.group);
   if (message.lends_limits) {
-    limit_borrower_.RecordLoan(
-        GroupName(message.requirements.service, message.requirements.group),
-        from, now);
+    limit_borrower_.RecordLoan(group, from, now);
   }
+  message.requirements.limit_share = LimitShareOf(group, now);
   if (knows_servers) {
     slot = AcquireSlot(from, false, message.retry, message.requirements, now);
   }
--- a/src/bambootack/gateway/server_choice.cc
+++ b/src/bambootack/gateway/server_choice.cc
@@ -124,9 +124,6 @@
                 state.id) != requirements.excluded.end()) {
     return std::nullopt;
   }
-  if (IsLimitUsed(state, requirements)) {
-    return std::nullopt;
-  }
   const double load = LoadOf(state, now);
   if (now < state.no_capacity_until ||
       load * state.slots >= RequestLimit(state, requirements)) {
@@ -223,21 +220,19 @@
 std::optional<Slot> ServerPool::Acquire(const SlotRequirements& requirements,
                                         core::VmId holder, core::Time now,
                                         core::Random& random) {
-  const auto servers = servers_by_service_.find(requirements.service);
-  if (servers == servers_by_service_.end()) {
-    return std::nullopt;
-  }
-  const auto& groups = servers->second;
   std::optional<Preference> best;
   ServerState* chosen = nullptr;
   bool healthy_soon = false;
-  for (const std::string& id : groups[requirements.group % groups.size()]) {
+  for (const std::string& id :
+       ServersOf(requirements.service, requirements.group)) {
     ServerState& state = servers_.find(id)->second;
     if (state.limit.Rate() && requirements.limit_share > 0.0) {
       state.limit.Refill(requirements.limit_share, now);
     }
-    healthy_soon |=
-        state.successes_needed == 0 && IsLimitUsed(state, requirements);
+    if (IsLimitUsed(state, requirements)) {
+      healthy_soon |= state.successes_needed == 0;
+      continue;
+    }
     const auto preference = PreferenceOf(state, requirements, now, random);
     if (preference && (!best || *preference < *best)) {
       best = preference;
@@ -255,22 +250,20 @@
 
 std::optional<core::Duration> ServerPool::PromiseAdmission(
     const SlotRequirements& requirements, core::Time now) {
-  const auto servers = servers_by_service_.find(requirements.service);
-  if (limited_servers_ == 0 || requirements.limit_share <= 0.0 ||
-      servers == servers_by_service_.end()) {
+  const auto ids = ServersOf(requirements.service, requirements.group);
+  if (limited_servers_ == 0 || requirements.limit_share <= 0.0 || ids.empty()) {
     return std::nullopt;
   }
   double rate = 0.0;
-  const auto& groups = servers->second;
-  for (const std::string& id : groups[requirements.group % groups.size()]) {
+  for (const std::string& id : ids) {
     const ServerState& state = servers_.find(id)->second;
-    const auto& limit = state.limit.Rate();
-    if (state.successes_needed == 0 && !limit) {
-      return std::nullopt;
+    if (state.successes_needed > 0) {
+      continue;
     }
-    if (state.successes_needed == 0) {
-      rate += *limit * requirements.limit_share;
+    if (!state.limit.Rate()) {
+      return std::nullopt;
     }
+    rate += *state.limit.Rate() * requirements.limit_share;
   }
   return returns_[GroupName(requirements.service, requirements.group)].Next(
       rate, now);
--- a/src/bambootack/gateway/server_pool.cc
+++ b/src/bambootack/gateway/server_pool.cc
@@ -91,6 +91,15 @@
              : static_cast<std::uint32_t>(it->second.size());
 }
 
+std::span<const std::string> ServerPool::ServersOf(std::string_view service,
+                                                   std::uint32_t group) const {
+  const auto it = servers_by_service_.find(service);
+  if (it == servers_by_service_.end()) {
+    return {};
+  }
+  return it->second[group % it->second.size()];
+}
+
 std::optional<LeaseStart> ServerPool::FindLease(std::uint64_t lease) const {
   const auto it = leases_.find(lease);
   return it == leases_.end()
@@ -242,27 +251,14 @@
       [](const auto& it) { return it.second.limit.Rate().has_value(); }));
 }
 
-bool ServerPool::IsLimited(std::string_view service,
-                           std::uint32_t group) const {
-  const auto groups = servers_by_service_.find(service);
-  if (limited_servers_ == 0 || groups == servers_by_service_.end()) {
-    return false;
-  }
-  const auto& ids = groups->second[group % groups->second.size()];
-  return std::any_of(ids.begin(), ids.end(), [&](const std::string& it) {
-    return servers_.find(it)->second.limit.Rate().has_value();
-  });
-}
-
 std::vector<KnownLimit> ServerPool::KnownLimits(std::string_view service,
                                                 std::uint32_t group,
                                                 core::Time now) const {
   std::vector<KnownLimit> result;
-  const auto groups = servers_by_service_.find(service);
-  if (limited_servers_ == 0 || groups == servers_by_service_.end()) {
+  if (limited_servers_ == 0) {
     return result;
   }
-  for (const std::string& id : groups->second[group % groups->second.size()]) {
+  for (const std::string& id : ServersOf(service, group)) {
     const StatedLimit& limit = servers_.find(id)->second.limit;
     if (limit.Rate()) {
       result.push_back(
--- a/src/bambootack/gateway/server_pool.h
+++ b/src/bambootack/gateway/server_pool.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -166,10 +167,6 @@
     return limited_servers_;
   }
 
-  /// @brief Whether a server of a group limits the rate of its requests.
-  [[nodiscard]] bool IsLimited(std::string_view service,
-                               std::uint32_t group) const;
-
   /// @brief Limits of the servers of a group, to tell its dispatcher.
   [[nodiscard]] std::vector<KnownLimit> KnownLimits(std::string_view service,
                                                     std::uint32_t group,
@@ -255,6 +252,8 @@
 
   void DivideIntoGroups();
   void CountLimitedServers();
+  [[nodiscard]] std::span<const std::string> ServersOf(
+      std::string_view service, std::uint32_t group) const;
   [[nodiscard]] static bool IsLimitUsed(const ServerState& state,
                                         const SlotRequirements& requirements);
   [[nodiscard]] std::optional<Preference> PreferenceOf(
