Simulations: one event queue in virtual time

LimitedFleet repeated the event loop of SimulatedFleet, and both that of the overload model. LongestRetryAfter of LimitedFleet had no reader.

test_gateway, test_platform and test_dispatch pass with the same expectations.

--- a/bench/overload/model.cc
+++ b/bench/overload/model.cc
@@ -14,7 +14,7 @@
 #include "bambootack/dispatch/group.h"
 #include "bambootack/dispatch/group_chooser.h"
 #include "bambootack/dispatch/retry_budget.h"
-#include "bench/overload/event_queue.h"
+#include "bench/common/event_queue.h"
 
 namespace bambootack::overload {
 namespace {
@@ -600,7 +600,7 @@
            std::unique_ptr<DispatcherModel>>
       dispatchers_;
   std::deque<Request> requests_;
-  EventQueue events_;
+  bench::EventQueue events_;
   Figures figures_;
   dispatch::PerRank<int> busy_{};
   std::size_t waiting_ = 0;
--- a/test/bambootack/gateway/limited_fleet.cc
+++ b/test/bambootack/gateway/limited_fleet.cc
@@ -51,14 +51,14 @@
   for (std::size_t i = 0; i < vms_.size(); ++i) {
     Start(i);
   }
-  At(now_ + milliseconds(100), [this] { SendRequest(); });
+  events_.At(events_.Now() + milliseconds(100), [this] { SendRequest(); });
 }
 
 void LimitedFleet::Start(std::size_t vm) {
   Vm& it = vms_[vm];
   ++it.epoch;
   it.told.clear();
-  it.disturbed_at = it.epoch == 1 ? core::Time{} : now_;
+  it.disturbed_at = it.epoch == 1 ? core::Time{} : events_.Now();
   GatewayOptions options = GatewayFixture::Options(IdOf(vm));
   it.gateway = std::make_unique<Gateway>(
       options, shape_.seed * 1000 + vm + it.epoch * 100'000);
@@ -69,17 +69,18 @@
     record.address = AddressOf(i);
     record.failure_domain = "west";
     record.slots = kSlots;
-    it.gateway->Registry().Apply(record, i, now_);
+    it.gateway->Registry().Apply(record, i, events_.Now());
   }
   GatewayConfig config;
   config.version = 1;
   config.services = {"desk"};
   config.routes = {GatewayFixture::Route("book", "/book/", false),
                    GatewayFixture::Route("read", "/read/", true)};
-  it.gateway->Configure(std::move(config), now_);
-  it.gateway->Sync().RecordStoreRead(servers_.size(), now_, now_);
+  it.gateway->Configure(std::move(config), events_.Now());
+  it.gateway->Sync().RecordStoreRead(servers_.size(), events_.Now(),
+                                     events_.Now());
   it.gateway->Sync().MarkFleetKnown();
-  it.gateway->ApplyRegistry(now_);
+  it.gateway->ApplyRegistry(events_.Now());
   for (std::size_t i = 0; i < vms_.size(); ++i) {
     it.gateway->AddPeer({IdOf(i), {}, "10.0.1.1:7000", "west"});
   }
@@ -90,7 +91,8 @@
 
 void LimitedFleet::Stop(std::size_t vm) {
   if (vms_[vm].gateway) {
-    vms_[vm].gateway->BeginShutdown(PlanShutdown(now_, milliseconds(6000)));
+    vms_[vm].gateway->BeginShutdown(
+        PlanShutdown(events_.Now(), milliseconds(6000)));
     Process(vm);
   }
 }
@@ -106,7 +108,7 @@
 
 void LimitedFleet::SetCut(std::size_t vm, bool cut) {
   vms_[vm].cut = cut;
-  vms_[vm].disturbed_at = now_;
+  vms_[vm].disturbed_at = events_.Now();
 }
 
 std::size_t LimitedFleet::Dispatcher(std::size_t of) const {
@@ -114,7 +116,8 @@
   for (std::size_t i = 0; i < vms_.size(); ++i) {
     directory.Add({IdOf(i), {}, "10.0.1.1:7000", "west"});
   }
-  return static_cast<std::size_t>(directory.ChooseDispatcher("desk/0", now_)) -
+  return static_cast<std::size_t>(
+             directory.ChooseDispatcher("desk/0", events_.Now())) -
          1;
 }
 
@@ -122,24 +125,14 @@
                             std::optional<double> rate) {
   Server& it = servers_[server];
   it.fields = std::move(fields);
-  it.changes.push_back({now_, rate});
+  it.changes.push_back({events_.Now(), rate});
   if (!rate) {
     it.first_named.reset();
   }
 }
 
-void LimitedFleet::At(core::Time time, std::function<void()> run) {
-  events_.emplace(time, std::move(run));
-}
-
 void LimitedFleet::RunFor(core::Duration time) {
-  const core::Time end = now_ + time;
-  while (!events_.empty() && events_.begin()->first <= end) {
-    auto node = events_.extract(events_.begin());
-    now_ = std::max(now_, node.key());
-    node.mapped()();
-  }
-  now_ = end;
+  events_.RunUntil(events_.Now() + time);
 }
 
 void LimitedFleet::Process(std::size_t vm) {
@@ -147,14 +140,14 @@
   if (!it.gateway) {
     return;
   }
-  it.gateway->OnTimer(now_);
+  it.gateway->OnTimer(events_.Now());
   for (GatewayAction& action : it.gateway->TakeActions()) {
     Perform(vm, action);
   }
   const core::Time next =
-      std::max(*it.gateway->NextTimer(), now_ + milliseconds(1));
+      std::max(*it.gateway->NextTimer(), events_.Now() + milliseconds(1));
   it.timer = next;
-  At(next, [this, vm, next, epoch = it.epoch] {
+  events_.At(next, [this, vm, next, epoch = it.epoch] {
     if (vms_[vm].epoch == epoch && vms_[vm].timer == next) {
       Process(vm);
     }
@@ -174,10 +167,12 @@
         attempt->address.c_str() + std::string_view("10.0.0.").size(), nullptr,
         10);
     if (cut) {
-      At(now_ + kLostConnection,
-         [this, it] { Finish(it, node::AttemptEnd::kNotConnected, {}); });
+      events_.At(events_.Now() + kLostConnection, [this, it] {
+        Finish(it, node::AttemptEnd::kNotConnected, {});
+      });
     } else {
-      At(now_ + kNetworkDelay, [this, it, server] { Arrive(server - 1, it); });
+      events_.At(events_.Now() + kNetworkDelay,
+                 [this, it, server] { Arrive(server - 1, it); });
     }
   } else if (auto* message = std::get_if<SendToPeer>(&action)) {
     const auto to = static_cast<std::size_t>(message->vm) - 1;
@@ -185,14 +180,16 @@
         random_.Unit() < shape_.peer_loss) {
       return;
     }
-    At(now_ + kNetworkDelay, [this, vm, to, text = std::move(message->message),
-                              epoch = vms_[to].epoch]() mutable {
-      Vm& it = vms_[to];
-      if (it.gateway && it.epoch == epoch && !it.cut) {
-        it.gateway->OnMessage(IdOf(vm), std::move(text), now_);
-        Process(to);
-      }
-    });
+    events_.At(events_.Now() + kNetworkDelay,
+               [this, vm, to, text = std::move(message->message),
+                epoch = vms_[to].epoch]() mutable {
+                 Vm& it = vms_[to];
+                 if (it.gateway && it.epoch == epoch && !it.cut) {
+                   it.gateway->OnMessage(IdOf(vm), std::move(text),
+                                         events_.Now());
+                   Process(to);
+                 }
+               });
   }
 }
 
@@ -200,8 +197,8 @@
 void LimitedFleet::SendRequest() {
   const double gap =
       -std::log(1.0 - random_.Unit()) / shape_.requests_per_second;
-  At(now_ + microseconds(static_cast<std::int64_t>(gap * 1e6)),
-     [this] { SendRequest(); });
+  events_.At(events_.Now() + microseconds(static_cast<std::int64_t>(gap * 1e6)),
+             [this] { SendRequest(); });
   const std::size_t vm = random_.Below(vms_.size());
   if (!vms_[vm].gateway || vms_[vm].cut) {
     return;
@@ -213,20 +210,20 @@
        random_.Unit() < 0.3 ? "/read/1" : "/book/1",
        {{"Host", "a.example"}, {"Request-Id", id}, {"Time-Left-Ms", "1400"}},
        id},
-      now_);
+      events_.Now());
   Process(vm);
 }
 
 void LimitedFleet::Arrive(std::size_t server, const InFlight& it) {
   Server& state = servers_[server];
   const auto told = vms_[it.vm].told.find(server);
-  state.arrivals.push_back(
-      {now_, it.vm,
-       told != vms_[it.vm].told.end() && told->second + kTellingTime <= now_});
+  state.arrivals.push_back({events_.Now(), it.vm,
+                            told != vms_[it.vm].told.end() &&
+                                told->second + kTellingTime <= events_.Now()});
   CheckLimit(server);
   if (random_.Unit() < shape_.server_loss) {
-    At(now_ + kNetworkDelay,
-       [this, it] { Finish(it, node::AttemptEnd::kLost, {}); });
+    events_.At(events_.Now() + kNetworkDelay,
+               [this, it] { Finish(it, node::AttemptEnd::kLost, {}); });
     return;
   }
   if (state.executing >= kSlots + kQueue) {
@@ -237,11 +234,12 @@
   const double ms =
       shape_.work_ms * (0.5 + random_.Unit()) *
       std::max(1.0, static_cast<double>(state.executing) / kSlots);
-  At(now_ + microseconds(static_cast<std::int64_t>(ms * 1000.0)),
-     [this, server, it] {
-       --servers_[server].executing;
-       Answer(server, it, 200, {{"Signature", "x"}});
-     });
+  events_.At(
+      events_.Now() + microseconds(static_cast<std::int64_t>(ms * 1000.0)),
+      [this, server, it] {
+        --servers_[server].executing;
+        Answer(server, it, 200, {{"Signature", "x"}});
+      });
 }
 
 void LimitedFleet::Answer(std::size_t server, const InFlight& it, int status,
@@ -254,9 +252,10 @@
   }
   if (!state.changes.empty() && state.changes.back().rate &&
       !state.first_named) {
-    state.first_named = now_;
+    state.first_named = events_.Now();
   }
-  At(now_ + kNetworkDelay, [this, it, status, headers = std::move(headers)] {
+  events_.At(events_.Now() + kNetworkDelay, [this, it, status,
+                                             headers = std::move(headers)] {
     Finish(it, node::AttemptEnd::kAnswered, {status, headers, "body"});
   });
 }
@@ -265,7 +264,8 @@
                           core::HttpAnswer answer) {
   Vm& vm = vms_[it.vm];
   if (vm.gateway && vm.epoch == it.epoch) {
-    vm.gateway->OnAttemptFinished(it.attempt, end, std::move(answer), now_);
+    vm.gateway->OnAttemptFinished(it.attempt, end, std::move(answer),
+                                  events_.Now());
     Process(it.vm);
   }
 }
@@ -274,44 +274,41 @@
   const auto server = core::FindHeader(answer.headers, "Server");
   if (!server) {
     ++refused_;
-    const auto wait = core::FindHeader(answer.headers, "Retry-After");
-    longest_retry_after_ =
-        std::max(longest_retry_after_,
-                 std::strtod(std::string(wait.value_or("0")).c_str(), nullptr));
     return;
   }
   ++served_;
   if (core::FindHeader(answer.headers, "Limit")) {
     vms_[vm].told.try_emplace(
         std::strtoul(std::string(server->substr(1)).c_str(), nullptr, 10),
-        now_);
+        events_.Now());
   }
 }
 
 /// Requests that a server allows in the window that ends now, or nothing while
 /// no limit counts.
 std::optional<double> LimitedFleet::Allowed(const Server& server) const {
-  if (!server.first_named || *server.first_named + kStableWindow > now_) {
+  if (!server.first_named ||
+      *server.first_named + kStableWindow > events_.Now()) {
     return std::nullopt;
   }
   double allowed = 0.0;
-  core::Time until = now_;
+  core::Time until = events_.Now();
   for (auto it = server.changes.rbegin(); it != server.changes.rend(); ++it) {
     if (!it->rate) {
       return std::nullopt;
     }
-    const core::Time from = std::max(it->at, now_ - kWindow);
+    const core::Time from = std::max(it->at, events_.Now() - kWindow);
     if (from < until) {
       allowed += *it->rate * Seconds(until - from);
       until = from;
     }
-    if (it->at <= now_ - kWindow) {
+    if (it->at <= events_.Now() - kWindow) {
       break;
     }
   }
   // Before it was named, the first limit is taken to hold as well.
   allowed += server.changes.front().rate.value_or(0.0) *
-             Seconds(until - (now_ - kWindow));
+             Seconds(until - (events_.Now() - kWindow));
   return allowed * kTolerance + kSlack;
 }
 
@@ -327,21 +324,22 @@
         const bool excused =
             vm.cut || (vm.disturbed_at != core::Time{} &&
                        vm.disturbed_at + kStableWindow > it.at);
-        return it.counts && it.at > now_ - kWindow && !excused;
+        return it.counts && it.at > events_.Now() - kWindow && !excused;
       });
   if (static_cast<double>(got) > *allowed) {
-    broken_.push_back(fmt::format(
-        "{:.3f} s: {} got {} requests in 4 s, allowed {:.1f}",
-        Seconds(now_.time_since_epoch()), ServerId(server), got, *allowed));
+    broken_.push_back(
+        fmt::format("{:.3f} s: {} got {} requests in 4 s, allowed {:.1f}",
+                    Seconds(events_.Now().time_since_epoch()), ServerId(server),
+                    got, *allowed));
   }
 }
 
 std::size_t LimitedFleet::Arrivals(std::size_t server,
                                    core::Duration within) const {
   const auto& arrivals = servers_[server].arrivals;
-  return static_cast<std::size_t>(
-      std::count_if(arrivals.begin(), arrivals.end(),
-                    [&](const Arrival& it) { return it.at > now_ - within; }));
+  return static_cast<std::size_t>(std::count_if(
+      arrivals.begin(), arrivals.end(),
+      [&](const Arrival& it) { return it.at > events_.Now() - within; }));
 }
 
 }  // namespace bambootack::gateway
--- a/test/bambootack/gateway/limited_fleet.h
+++ b/test/bambootack/gateway/limited_fleet.h
@@ -15,6 +15,7 @@
 
 #include "bambootack/core/random.h"
 #include "bambootack/gateway/gateway.h"
+#include "bench/common/event_queue.h"
 
 namespace bambootack::gateway {
 
@@ -75,11 +76,6 @@
   [[nodiscard]] std::size_t Served() const noexcept { return served_; }
   [[nodiscard]] std::size_t Refused() const noexcept { return refused_; }
 
-  /// Longest `Retry-After` of a refusal, in seconds.
-  [[nodiscard]] double LongestRetryAfter() const noexcept {
-    return longest_retry_after_;
-  }
-
  private:
   struct Vm {
     std::unique_ptr<Gateway> gateway;
@@ -117,7 +113,6 @@
   };
 
   void Start(std::size_t vm);
-  void At(core::Time time, std::function<void()> run);
   void Process(std::size_t vm);
   void Perform(std::size_t vm, GatewayAction& action);
   void SendRequest();
@@ -131,17 +126,15 @@
   [[nodiscard]] std::optional<double> Allowed(const Server& server) const;
 
   LimitedFleetShape shape_;
-  core::Time now_{core::Duration(1'000'000)};
+  bench::EventQueue events_{core::Time(core::Duration(1'000'000))};
   core::Random random_;
   std::vector<Vm> vms_;
   std::vector<Server> servers_;
   std::set<std::pair<std::size_t, std::size_t>> disconnected_;
-  std::multimap<core::Time, std::function<void()>> events_;
   std::vector<std::string> broken_;
   std::uint64_t last_request_ = 0;
   std::size_t served_ = 0;
   std::size_t refused_ = 0;
-  double longest_retry_after_ = 0.0;
 };
 
 }  // namespace bambootack::gateway
--- a/test/platform/simulated_fleet.cc
+++ b/test/platform/simulated_fleet.cc
@@ -63,8 +63,9 @@
   }
   it.gateway->Sync().MarkFleetKnown();
   it.gateway->Sync().SetFirstReadTime(
-      now_ + (it.epoch == 1 ? milliseconds(6000) : milliseconds(0)));
-  At(now_ + core::Duration(random_.Below(60'000)), [this, vm] { Process(vm); });
+      events_.Now() + (it.epoch == 1 ? milliseconds(6000) : milliseconds(0)));
+  events_.At(events_.Now() + core::Duration(random_.Below(60'000)),
+             [this, vm] { Process(vm); });
 }
 
 void SimulatedFleet::Restart(std::size_t vm) { Start(vm); }
@@ -73,25 +74,15 @@
   vms_[vm].connected = connected;
 }
 
-void SimulatedFleet::At(core::Time time, std::function<void()> run) {
-  events_.emplace(time, std::move(run));
-}
-
 void SimulatedFleet::RunFor(core::Duration time) {
-  const core::Time end = now_ + time;
-  while (!events_.empty() && events_.begin()->first <= end) {
-    auto node = events_.extract(events_.begin());
-    now_ = std::max(now_, node.key());
-    node.mapped()();
-  }
-  now_ = end;
+  events_.RunUntil(events_.Now() + time);
 }
 
 /// Performs the actions of a VM that follow from the last event.
 void SimulatedFleet::Process(std::size_t vm) {
   Vm& it = vms_[vm];
-  it.gateway->OnTimer(now_);
-  for (StoreClient::Request& request : it.store->NextRequests(now_)) {
+  it.gateway->OnTimer(events_.Now());
+  for (StoreClient::Request& request : it.store->NextRequests(events_.Now())) {
     SendToStore(vm, std::move(request));
   }
   for (const gateway::GatewayAction& action : it.gateway->TakeActions()) {
@@ -100,12 +91,12 @@
     }
   }
   core::Time next = *it.gateway->NextTimer();
-  if (const auto store = it.store->NextTimer(now_)) {
+  if (const auto store = it.store->NextTimer(events_.Now())) {
     next = std::min(next, *store);
   }
-  next = std::max(next, now_ + milliseconds(1));
+  next = std::max(next, events_.Now() + milliseconds(1));
   it.timer = next;
-  At(next, [this, vm, next, epoch = it.epoch] {
+  events_.At(next, [this, vm, next, epoch = it.epoch] {
     if (vms_[vm].epoch == epoch && vms_[vm].timer == next) {
       Process(vm);
     }
@@ -113,12 +104,12 @@
 }
 
 core::Time SimulatedFleet::PassLink(Vm& vm, std::size_t bytes) {
-  const core::Time start = std::max(now_, vm.link_free_at);
+  const core::Time start = std::max(events_.Now(), vm.link_free_at);
   vm.link_free_at =
       start + microseconds(bytes * 1'000'000 / shape_.link_bytes_per_second);
-  longest_link_wait_ =
-      std::max(longest_link_wait_,
-               std::chrono::duration_cast<core::Duration>(start - now_));
+  longest_link_wait_ = std::max(
+      longest_link_wait_,
+      std::chrono::duration_cast<core::Duration>(start - events_.Now()));
   return vm.link_free_at + kNetworkDelay;
 }
 
@@ -128,12 +119,12 @@
   const std::size_t bytes =
       gateway::Encode(action.message).size() + kFrameOverhead;
   const core::Time arrival = PassLink(vms_[vm], bytes);
-  At(arrival, [this, vm, to, message = action.message,
-               epoch = vms_[to].epoch]() mutable {
+  events_.At(arrival, [this, vm, to, message = action.message,
+                       epoch = vms_[to].epoch]() mutable {
     Vm& it = vms_[to];
     if (it.epoch == epoch && it.connected && it.receives_from_peers &&
         vms_[vm].connected) {
-      it.gateway->OnMessage(IdOf(vm), std::move(message), now_);
+      it.gateway->OnMessage(IdOf(vm), std::move(message), events_.Now());
       Process(to);
     }
   });
@@ -144,24 +135,26 @@
   const auto finish = [this, vm, epoch = vms_[vm].epoch, answered,
                        kind = request.topic](const Answer& answer) {
     if (!std::exchange(*answered, true) && vms_[vm].epoch == epoch) {
-      vms_[vm].store->OnAnswer(kind, answer, now_, random_);
+      vms_[vm].store->OnAnswer(kind, answer, events_.Now(), random_);
       Process(vm);
     }
   };
-  At(now_ + request.request.timeout, [finish] { finish(std::nullopt); });
-  At(PassLink(vms_[vm], kStoreRequestBytes),
-     [this, vm, finish, target = std::move(request.request.http.target)] {
-       if (!vms_[vm].connected) {
-         return;
-       }
-       const core::Time hold_until =
-           now_ + milliseconds(QueryNumber(target, "waitMs"));
-       AnswerFromStore(target, hold_until, [this, vm, finish](Answer answer) {
-         if (vms_[vm].connected) {
-           finish(answer);
-         }
-       });
-     });
+  events_.At(events_.Now() + request.request.timeout,
+             [finish] { finish(std::nullopt); });
+  events_.At(
+      PassLink(vms_[vm], kStoreRequestBytes),
+      [this, vm, finish, target = std::move(request.request.http.target)] {
+        if (!vms_[vm].connected) {
+          return;
+        }
+        const core::Time hold_until =
+            events_.Now() + milliseconds(QueryNumber(target, "waitMs"));
+        AnswerFromStore(target, hold_until, [this, vm, finish](Answer answer) {
+          if (vms_[vm].connected) {
+            finish(answer);
+          }
+        });
+      });
 }
 
 /// Answers after the store's delay. Holds a read of no records until one
@@ -175,21 +168,22 @@
   const std::uint64_t from = QueryNumber(target, "from");
   const bool is_read = target.find("log-read") != std::string::npos;
   const bool holds = is_read && from >= topic.records.size();
-  if (store_available_ && holds && now_ < hold_until) {
-    At(now_ + milliseconds(1),
-       [this, target, hold_until, on_answer = std::move(on_answer)]() mutable {
-         AnswerFromStore(target, hold_until, std::move(on_answer));
-       });
+  if (store_available_ && holds && events_.Now() < hold_until) {
+    events_.At(
+        events_.Now() + milliseconds(1),
+        [this, target, hold_until, on_answer = std::move(on_answer)]() mutable {
+          AnswerFromStore(target, hold_until, std::move(on_answer));
+        });
     return;
   }
   core::HttpAnswer answer{503, {}, ""};
   if (store_available_) {
     answer = {200, {}, is_read ? ReadPage(topic, from) : NewestPage(topic)};
   }
-  At(now_ + kStoreDelay,
-     [answer = std::move(answer), on_answer = std::move(on_answer)] {
-       on_answer(answer);
-     });
+  events_.At(events_.Now() + kStoreDelay,
+             [answer = std::move(answer), on_answer = std::move(on_answer)] {
+               on_answer(answer);
+             });
 }
 
 std::string SimulatedFleet::NewestPage(const Topic& topic) {
@@ -288,7 +282,7 @@
 }
 
 bool SimulatedFleet::IsStoreReader(std::size_t vm) const {
-  return vms_[vm].gateway->Sync().IsStoreReader(now_);
+  return vms_[vm].gateway->Sync().IsStoreReader(events_.Now());
 }
 
 }  // namespace bambootack::platform
--- a/test/platform/simulated_fleet.h
+++ b/test/platform/simulated_fleet.h
@@ -15,6 +15,7 @@
 #include "bambootack/core/random.h"
 #include "bambootack/core/time.h"
 #include "bambootack/gateway/gateway.h"
+#include "bench/common/event_queue.h"
 #include "platform/store_client.h"
 
 namespace bambootack::platform {
@@ -81,8 +82,10 @@
 
   /// @brief Time since the store confirmed the state of a VM.
   [[nodiscard]] core::Duration StateAge(std::size_t vm) const {
-    return vms_[vm].gateway->Sync().StateAge(now_).value_or(
-        core::Duration::max());
+    return vms_[vm]
+        .gateway->Sync()
+        .StateAge(events_.Now())
+        .value_or(core::Duration::max());
   }
 
   /// @brief Longest time that a message waited for the link of its VM since the
@@ -111,7 +114,6 @@
   using Answer = std::optional<core::HttpAnswer>;
 
   void Start(std::size_t vm);
-  void At(core::Time time, std::function<void()> run);
   void Process(std::size_t vm);
   void SendToPeer(std::size_t vm, const gateway::SendToPeer& action);
   void SendToStore(std::size_t vm, StoreClient::Request request);
@@ -125,11 +127,10 @@
                                             std::uint64_t from);
 
   FleetShape shape_;
-  core::Time now_{core::Duration(1'000'000)};
+  bench::EventQueue events_{core::Time(core::Duration(1'000'000))};
   core::Random random_;
   std::vector<Vm> vms_;
   std::map<std::string, Topic, std::less<>> topics_;
-  std::multimap<core::Time, std::function<void()>> events_;
   bool store_available_ = true;
   core::Duration longest_link_wait_{};
 };
