--- a/src/bambootack/net/answer_head.cc
+++ b/src/bambootack/net/answer_head.cc
@@ -16,10 +16,15 @@
 /// "HTTP/1.1 200 " without a reason phrase.
 constexpr std::size_t kMinStatusLine = kVersionLength + kStatusLength + 2;
 
-constexpr int kMinStatus = 100;
+constexpr int kMinInterimStatus = 100;
+constexpr int kMaxInterimStatus = 199;
 constexpr int kSwitchingProtocols = 101;
-constexpr int kMinFinalStatus = 200;
-constexpr int kMaxStatus = 599;
+
+/// No request asks for another protocol.
+bool IsInterimStatus(int status) noexcept {
+  return status >= kMinInterimStatus && status <= kMaxInterimStatus &&
+         status != kSwitchingProtocols;
+}
 
 bool IsDigit(char it) noexcept { return it >= '0' && it <= '9'; }
 
@@ -64,13 +69,11 @@
   std::from_chars(status.data(), status.data() + status.size(), status_);
   supports_codings_ = line[kVersionLength - 1] != '0';
   fields_.clear();
-  // No request asks for another protocol.
-  return status_ >= kMinStatus && status_ <= kMaxStatus &&
-         status_ != kSwitchingProtocols;
+  return core::IsFinalStatus(status_) || IsInterimStatus(status_);
 }
 
 AnswerHeadParser::State AnswerHeadParser::StateAfterHead() const noexcept {
-  if (status_ < kMinFinalStatus) {
+  if (!core::IsFinalStatus(status_)) {
     return State::kStatusLine;
   }
   const bool coded = core::FindHeader(fields_, "Transfer-Encoding").has_value();
